Boxes agree on homes while they hear of each other

A box that starts asks one other for all that it knows.

Tests: TestSettled (starts not yet heard), TestSettledIsTheSameEverywhere; both failed before.

--- a/state/member/member.go
+++ b/state/member/member.go
@@ -136,6 +136,10 @@
 	Ping MessageKind = iota + 1
 	Ack
 	PingRequest
+	// SyncRequest asks for all that a box knows; a box that starts sends it.
+	SyncRequest
+	// Sync is the answer to it.
+	Sync
 )
 
 // Send is a message and where it goes.
@@ -163,6 +167,11 @@
 	leaving  bool
 	// denied tells that others thought this box dead.
 	denied bool
+	// synced is true once another box has told all that it knows; asked is when
+	// one was last asked to, and asks how often.
+	synced bool
+	asked  time.Time
+	asks   int
 }
 
 // relay remembers whom an indirect probe is for.
--- a/state/member/member_test.go
+++ b/state/member/member_test.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -199,3 +200,36 @@
 		convey.So(w.agreed(), convey.ShouldEqual, "")
 	})
 }
+
+// settledBy is what a view takes for settled, as one string.
+func (w *net) settledBy(name string) string {
+	return strings.Join(Settled(w.views[name].Duty()), " ")
+}
+
+func TestSettledIsTheSameEverywhere(t *testing.T) {
+	convey.Convey("Boxes that all start at once agree from the first moment on", t, func() {
+		w := newNet(40)
+		want := strings.Join(w.names, " ")
+		for range 200 {
+			for _, name := range w.names {
+				if got := w.settledBy(name); got != want {
+					t.Fatalf("%v after the start %s takes %d boxes for settled", w.now.Sub(time.Unix(1_700_000_000, 0)), name, len(strings.Fields(got)))
+				}
+			}
+			w.run(tick)
+		}
+	})
+	convey.Convey("A box that comes back takes over what the others think within a second", t, func() {
+		w := newNet(40)
+		w.run(40 * time.Second)
+		w.down["b07"] = true
+		for _, name := range w.names {
+			w.views[name].Refused(w.now, "b07")
+		}
+		w.run(time.Second)
+		w.start("b07")
+		w.run(time.Second)
+		convey.So(w.settledBy("b07"), convey.ShouldEqual, w.settledBy("b00"))
+		convey.So(strings.Fields(w.settledBy("b07")), convey.ShouldHaveLength, 39)
+	})
+}
--- a/state/member/protocol.go
+++ b/state/member/protocol.go
@@ -17,6 +17,9 @@
 	distrustPeriods = 2
 	// maxRelays bounds the indirect probes remembered.
 	maxRelays = 256
+	// maxSyncs is after how many questions the answer of a box that knows few
+	// others does.
+	maxSyncs = 4
 )
 
 // Tick moves the protocol on; it is called a few times a period.
@@ -26,16 +29,46 @@
 	}
 	v.last = now
 	v.expire(now)
+	out := v.requestSync(now)
 	if v.probe.target == "" || now.Sub(v.probe.sent) >= v.cfg.Period {
 		v.judge(now)
-		return v.next(now)
+		return append(out, v.next(now)...)
 	}
 	late := now.Sub(v.probe.sent) >= v.cfg.Timeout
 	if late && !v.probe.answered && !v.probe.indirect {
 		v.probe.indirect = true
-		return v.askOthers()
+		return append(out, v.askOthers()...)
 	}
-	return nil
+	return out
+}
+
+// requestSync asks one other box for all that it knows, and another one after
+// a timeout, until one has answered. Without it a box that starts would hear
+// of the others one probe at a time, and give duties to other boxes than they
+// do meanwhile.
+func (v *View) requestSync(now time.Time) []Send {
+	if v.synced || now.Sub(v.asked) < v.cfg.Timeout {
+		return nil
+	}
+	var others []string
+	for _, b := range v.Duty() {
+		if b.Name != v.cfg.Self.Name {
+			others = append(others, b.Name)
+		}
+	}
+	if len(others) == 0 {
+		return nil
+	}
+	v.asked = now
+	v.asks++
+	return []Send{v.send(others[v.random.IntN(len(others))], Message{Kind: SyncRequest})}
+}
+
+// sync tells another box all that this one knows first-hand or has heard.
+func (v *View) sync(to string) []Send {
+	s := v.send(to, Message{Kind: Sync})
+	s.Message.News = v.list(func(e *entry) bool { return e.Incarnation > 0 })
+	return []Send{s}
 }
 
 // noticePause makes a box that stood still blame itself: whatever was due
@@ -242,6 +275,12 @@
 		return v.relayPing(now, from, m)
 	case Ack:
 		return v.acked(from, m)
+	case SyncRequest:
+		return v.sync(from)
+	case Sync:
+		// One that knows few boxes has just started itself.
+		v.synced = len(m.News)*2 >= len(v.boxes) || v.asks >= maxSyncs
+		return nil
 	default:
 		return nil
 	}
--- a/state/member/settled_test.go
+++ b/state/member/settled_test.go
@@ -20,6 +20,8 @@
 		"alone":                 {[]Box{{Name: "a", Start: 90_000}}, []string{"a"}},
 		"nobody":                {nil, []string{}},
 		"the younger of a pair": {[]Box{{Name: "a", Start: 1000}, {Name: "b", Start: 90_000}}, []string{"a"}},
+		"starts not yet heard":  {[]Box{{Name: "a"}, {Name: "b", Start: 90_000}, {Name: "c"}, {Name: "d"}}, []string{"a", "b", "c", "d"}},
+		"young among unheard":   {[]Box{{Name: "a"}, {Name: "b", Start: 90_000}, {Name: "c"}, {Name: "d", Start: 1000}, {Name: "e", Start: 1001}}, []string{"a", "c", "d", "e"}},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
