Callers come back within their patience, and other groups have their say

Change: a refusal beyond the line is spread over the later part of the caller's patience; a request that its group refuses is offered to two others, which grant it at once or refuse and book no time; engines that keep results for a short time get no prefill without a slot.

Tests: TestComeBackWithinPatience, TestSpill, TestNoPrefillWithoutSlot.

--- a/coordination/dispatch/ask.go
+++ b/coordination/dispatch/ask.go
@@ -48,7 +48,7 @@
 // group.
 func (v *driver) ask(e lifecycle.AskHome) {
 	groups := v.d.cfg.Homes.GroupsOf(v.request.Service)
-	v.group = home.ChooseGroup(groups, v.request.Zone, v.call.ID.Sequence, v.machine.Attempt)
+	v.group = home.ChooseGroup(groups, v.request.Zone, v.call.ID.Sequence, v.machine.Attempt, nil)
 	if v.group == "" {
 		v.step(lifecycle.Refused{Reason: lifecycle.ReasonRouteRemoved, RetryAfterMS: noEngineRetryMS})
 		return
--- a/coordination/home/assign.go
+++ b/coordination/home/assign.go
@@ -45,8 +45,10 @@
 
 // ChooseGroup picks the group of a service that is asked for a request: at the
 // first attempt one in the box's zone, if there is any, later another part.
-// Turn shares requests out where there are several; no groups give "".
-func ChooseGroup(groups []table.Group, zone string, turn uint64, attempt uint32) string {
+// Turn shares requests out where there are several, and those in without are
+// left out; no groups give "".
+func ChooseGroup(groups []table.Group, zone string, turn uint64, attempt uint32, without []string) string {
+	groups = slices.DeleteFunc(slices.Clone(groups), func(g table.Group) bool { return slices.Contains(without, g.Key) })
 	if len(groups) == 0 {
 		return ""
 	}
--- a/coordination/home/home.go
+++ b/coordination/home/home.go
@@ -412,6 +412,7 @@
 		"wait_ms":           r.Seen.Wait.Milliseconds(),
 		"left_ms":           r.Seen.Left.Milliseconds(),
 		"retry_ms":          r.RetryAfter.Milliseconds(),
+		"spill":             r.Ask.Spill,
 	}).Info("home_refused")
 }
 
--- a/coordination/relay/relay.go
+++ b/coordination/relay/relay.go
@@ -9,136 +9,202 @@
 
 import (
 	"context"
-	"io"
+	"sync"
 	"time"
-)
 
-// Field is one header.
-type Field struct{ Name, Value string }
-
-// Endpoint is one start of an endpoint of a routed service.
-type Endpoint struct {
-	Service string
-	ID      string
-	Address string
-}
-
-// Prompt is what a caller says of a model request.
-type Prompt struct {
-	// Tokens is the prompt's length and Output the most that is generated.
-	Tokens, Output int
-	// Hint is the caller's guess of the output; 0 is none.
-	Hint int
-}
-
-// Request is one opaque request as it came from a caller.
-type Request struct {
-	// ID is the caller's own id of this attempt.
-	ID string
-	// Host, Path and Target are those of the request line; Target has the
-	// query too.
-	Host, Path, Target string
-	Method             string
-	Header             []Field
-	Body               []byte
-	// HasBody says that the request had a body, if an empty one.
-	HasBody bool
-	Prompt  Prompt
-	// Wait is how long the caller will wait from its arrival; 0 is not said.
-	Wait time.Duration
-	// LastEvent is the event after which a stream goes on; empty is its start.
-	LastEvent string
-	Arrived   time.Time
-}
-
-// Call is one order to an endpoint.
-type Call struct {
-	Endpoint  Endpoint
-	Method    string
-	Target    string
-	Host      string
-	RequestID string
-	Header    []Field
-	Body      []byte
-	HasBody   bool
-	// Left is how long the endpoint may work; 0 is no bound.
-	Left time.Duration
-	// Ranked says that Priority is sent, 0 the most urgent.
-	Ranked   bool
-	Priority int
-	// Prefill asks for the prompt's KV cache alone.
-	Prefill bool
-	// Source is where the engine fetches the prompt's KV cache.
-	Source    string
-	LastEvent string
-	// Control marks a call that is no request of a caller's and has no id.
-	Control bool
-}
-
-// Answer is an endpoint's answer whose head has come.
-type Answer struct {
-	Status int
-	Header []Field
-	// Length of the body, -1 if it is not known.
-	Length int64
-	Body   io.ReadCloser
-	// Signed says that the endpoint stands for the answer.
-	Signed bool
-	// NotRun is the endpoint's word that it did not run the request; OtherHere
-	// that another one has its address.
-	NotRun, OtherHere bool
-	// Encoded marks a body that is not as the endpoint made it.
-	Encoded bool
-}
-
-// Success says whether the answer is an endpoint's success.
-func (a *Answer) Success() bool { return a.Status/statusClass == successClass }
-
-const (
-	statusClass  = 100
-	successClass = 2
-	// maxDiscard bounds the body that is read so that a connection can be
-	// used again, in bytes.
-	maxDiscard = 64 << 10
+	"runridge.example/runridge/coordination/home"
+	"runridge.example/runridge/modules/log"
+	"runridge.example/runridge/modules/metric"
+	"runridge.example/runridge/modules/ring"
+	"runridge.example/runridge/state/directory"
+	"runridge.example/runridge/state/lifecycle"
+	"runridge.example/runridge/state/route"
+	"runridge.example/runridge/state/schedule"
+	"runridge.example/runridge/state/spare"
+	"runridge.example/runridge/state/table"
 )
 
-// Discard reads the rest of a short body, so that its connection can be used
-// again.
-func (a *Answer) Discard() error {
-	_, err := io.Copy(io.Discard, io.LimitReader(a.Body, maxDiscard))
-	if err != nil {
-		return err
+// Homes takes questions to the home of a group.
+type Homes interface {
+	GroupsOf(service string) []table.Group
+	HomesOf(group string) []string
+	Tell(box, group string, body home.Body) ring.Outcome
+}
+
+// Directory gives the endpoints as this box knows them.
+type Directory interface {
+	Directory() directory.Directory
+	// Left tells that another endpoint has the address of this one.
+	Left(id string)
+}
+
+// Metrics counts requests.
+type Metrics interface {
+	RequestEnded(e metric.Ended)
+	// Sent counts a request's arrivals at endpoints: those for an answer and
+	// those for a prefill alone.
+	Sent(service string, answers, prefills int)
+	// Gap records the longest pause in a stream.
+	Gap(service string, longest time.Duration)
+	// BudgetDenied counts a retry that the budget did not allow.
+	BudgetDenied(service string)
+}
+
+// Config configures a Relay.
+type Config struct {
+	Box       string
+	Zone      string
+	Endpoints Endpoints
+	Homes     Homes
+	Directory Directory
+	// ParsePrefill reads an engine's answer to a prefill: the handle and the
+	// number of tokens.
+	ParsePrefill func(body []byte) (handle string, tokens int, err error)
+	// NextID names a new request of this box.
+	NextID func() lifecycle.RequestID
+	// Boxes is the number of boxes that share the retry budgets.
+	Boxes func() int
+	// Metrics, if set, counts what requests come to.
+	Metrics Metrics
+	// Budget bounds the retries of a service over all boxes.
+	Budget spare.Config
+	Log    log.Logger
+	Now    func() time.Time
+}
+
+// Relay drives all opaque requests of one box.
+type Relay struct {
+	cfg     Config
+	started time.Time
+
+	mutex   sync.Mutex
+	index   route.Index
+	table   table.Table
+	runs    map[lifecycle.RequestID]*run
+	budgets map[string]spare.Budget
+}
+
+// New makes a relay.
+func New(cfg Config) *Relay {
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
+	return &Relay{
+		cfg:     cfg,
+		started: cfg.Now(),
+		runs:    make(map[lifecycle.RequestID]*run),
+		budgets: make(map[string]spare.Budget),
+	}
+}
+
+// SetBudget replaces the bound on retries.
+func (r *Relay) SetBudget(c spare.Config) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.cfg.Budget = c
+}
+
+// SetTable puts a table into force.
+func (r *Relay) SetTable(t table.Table) {
+	index := route.NewIndex(t)
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.index = index
+	r.table = t
+}
+
+func (r *Relay) current() (route.Index, table.Table) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.index, r.table
+}
+
+// Limits bound what callers may send, by the table in force.
+func (r *Relay) Limits() table.Limits {
+	_, t := r.current()
+	return t.Limits
+}
+
+// Active is the number of requests under way.
+func (r *Relay) Active() int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return len(r.runs)
+}
+
+// Owns says whether a request is under way here.
+func (r *Relay) Owns(id lifecycle.RequestID) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	_, ok := r.runs[id]
+	return ok
+}
+
+// Decide takes a home's decision and reports whether it is for a request of
+// this relay.
+func (r *Relay) Decide(from, _ string, decision schedule.Decision) bool {
+	id := schedule.Asked(decision).ID
+	r.mutex.Lock()
+	v, ok := r.runs[id.Request]
+	r.mutex.Unlock()
+	if !ok {
+		return false
+	}
+	select {
+	case v.decisions <- decided{from: from, id: id, decision: decision}:
+	default:
+		// A run that is not asking does not read; the home's check finds out.
+	}
+	return true
+}
+
+// Rehome tells the homes of all running requests where they stand; the set of
+// boxes with duties has changed.
+func (r *Relay) Rehome() {
+	r.mutex.Lock()
+	runs := make([]*run, 0, len(r.runs))
+	for _, v := range r.runs {
+		runs = append(runs, v)
+	}
+	r.mutex.Unlock()
+	for _, v := range runs {
+		v.rehome()
+	}
+}
+
+// Serve answers one request. The context ends when the caller has gone.
+func (r *Relay) Serve(ctx context.Context, q Request, c Caller) {
+	v := newRun(r, q, c)
+	r.mutex.Lock()
+	r.runs[v.id] = v
+	r.mutex.Unlock()
+	defer func() {
+		r.mutex.Lock()
+		delete(r.runs, v.id)
+		r.mutex.Unlock()
+	}()
+	v.serve(ctx)
+}
+
+// noteRequest counts a request for a service's retry budget.
+func (r *Relay) noteRequest(service string) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.budgets[service] = r.budgets[service].WithRequest(r.cfg.Now())
+}
+
+// mayRepeat spends one further arrival at a service, if the budget has it.
+func (r *Relay) mayRepeat(service string) bool {
+	box := spare.Box{Boxes: 1, Started: r.started}
+	if r.cfg.Boxes != nil {
+		box.Boxes = r.cfg.Boxes()
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	next, ok := r.budgets[service].WithRepeat(r.cfg.Now(), r.cfg.Budget, box)
+	r.budgets[service] = next
+	if !ok && r.cfg.Metrics != nil {
+		r.cfg.Metrics.BudgetDenied(service)
 	}
-	return a.Body.Close()
-}
-
-// Endpoints makes exchanges with endpoints. Errors say what they prove, as
-// those of adapter.Engine do.
-type Endpoints interface {
-	// Send sends a request once and returns when its answer's head is here.
-	Send(ctx context.Context, call Call) (*Answer, error)
-	// Free frees a prefill result that an engine keeps.
-	Free(ctx context.Context, e Endpoint, handle string) error
-}
-
-// Caller takes the answer to one request.
-type Caller interface {
-	// Head begins an answer; length -1 is not known.
-	Head(status int, header []Field, length int64) error
-	// Write passes a piece on at once.
-	Write(p []byte) error
-	// End ends a whole answer.
-	End() error
-	// Break ends an answer so that it cannot be taken for a whole one.
-	Break()
-	// Refuse answers in the box's own name.
-	Refuse(r Refusal)
-}
-
-// Refusal is an answer in the box's own name.
-type Refusal struct {
-	Status int
-	Reason string
-	// RetryAfter is when to come again, for a request that has not run.
-	RetryAfter time.Duration
+	return ok
 }
--- a/coordination/relay/run.go
+++ b/coordination/relay/run.go
@@ -80,6 +80,9 @@
 	alone bool
 	// reason is what ended or failed the latest attempt.
 	reason string
+	// refusals are the homes' refusals of this request for want of room, the
+	// one of its own group first.
+	refusals []refusal
 
 	mutex   sync.Mutex
 	home    string
@@ -99,6 +102,15 @@
 	}
 }
 
+// refusal is a group's word that it has no room in time.
+type refusal struct {
+	group      string
+	retryAfter time.Duration
+}
+
+// maxSpills is how many other groups are asked when one has no room.
+const maxSpills = 2
+
 // result is what came of one attempt.
 type result struct {
 	kind resultKind
@@ -108,6 +120,8 @@
 	retryAfter time.Duration
 	// full says that the endpoint turned the request away for want of room.
 	full bool
+	// noRoom says that the home refused because its group has no room in time.
+	noRoom bool
 	// unreached says that no connection to it could be made.
 	unreached bool
 }
@@ -175,7 +189,7 @@
 	}
 	switch res.kind {
 	case refused:
-		return false
+		return v.spills(res)
 	case failed:
 		if !v.route.Idempotent() || v.runs >= v.route.MaxAttempts {
 			return false
@@ -190,6 +204,25 @@
 	return v.sends < maxSends
 }
 
+// spills notes a refusal and says whether another group is asked.
+func (v *run) spills(res result) bool {
+	if !res.noRoom {
+		return false
+	}
+	v.refusals = append(v.refusals, refusal{group: v.group, retryAfter: res.retryAfter})
+	return len(v.refusals) <= maxSpills && v.chooseGroup() != ""
+}
+
+// chooseGroup is the group that is asked next: none of those that have no room.
+func (v *run) chooseGroup() string {
+	full := make([]string, 0, len(v.refusals))
+	for _, f := range v.refusals {
+		full = append(full, f.group)
+	}
+	groups := v.r.cfg.Homes.GroupsOf(v.service.Name)
+	return home.ChooseGroup(groups, v.r.cfg.Zone, v.id.Sequence, v.attempt, full)
+}
+
 // conclude gives the caller the final word after the last attempt.
 func (v *run) conclude(ctx context.Context, res result) {
 	switch {
@@ -205,6 +238,9 @@
 		v.refuse(http.StatusGatewayTimeout, "timeout", 0)
 	case v.runs > 0:
 		v.refuse(http.StatusBadGateway, res.reason, 0)
+	case len(v.refusals) > 0:
+		// The request's own group has booked the time to come back.
+		v.refuse(http.StatusServiceUnavailable, res.reason, v.comeBack(v.refusals[0].retryAfter))
 	default:
 		v.refuse(http.StatusServiceUnavailable, res.reason, v.comeBack(res.retryAfter))
 	}
@@ -216,8 +252,12 @@
 
 // comeBack is when the caller is told to come again.
 func (v *run) comeBack(after time.Duration) time.Duration {
-	most := time.Duration(patienceShare * float64(v.deadline.Sub(v.r.cfg.Now())))
-	return max(min(after, most), leastRetry)
+	return max(min(after, v.patience()), leastRetry)
+}
+
+// patience is the longest wait that a refused caller accepts.
+func (v *run) patience() time.Duration {
+	return time.Duration(patienceShare * float64(v.deadline.Sub(v.r.cfg.Now())))
 }
 
 func (v *run) refuse(status int, reason string, after time.Duration) {
@@ -228,8 +268,7 @@
 // try makes one attempt: a question to the home, and the exchanges that it
 // grants.
 func (v *run) try(ctx context.Context) result {
-	groups := v.r.cfg.Homes.GroupsOf(v.service.Name)
-	v.group = home.ChooseGroup(groups, v.r.cfg.Zone, v.id.Sequence, v.attempt)
+	v.group = v.chooseGroup()
 	if v.group == "" {
 		return result{kind: refused, reason: string(lifecycle.ReasonNoEngine), retryAfter: notReadyRetry}
 	}
@@ -244,7 +283,12 @@
 			"retry_ms":       said.retryAfter.Milliseconds(),
 			"ms":             v.r.cfg.Now().Sub(v.q.Arrived).Milliseconds(),
 		}).Info("ask_refused")
-		return result{kind: refused, reason: string(said.reason), retryAfter: said.retryAfter}
+		return result{
+			kind:       refused,
+			reason:     string(said.reason),
+			retryAfter: said.retryAfter,
+			noRoom:     said.reason == lifecycle.ReasonHopeless && ctx.Err() == nil,
+		}
 	}
 	plan := said.grant.Plan
 	if said.alone {
@@ -309,6 +353,8 @@
 	}
 	a.Kept = v.keptBy()
 	a.Resume = a.Resume || a.Kept != ""
+	a.Patience = v.patience()
+	a.Spill = len(v.refusals) > 0
 	a.PromptTokens = v.q.Prompt.Tokens
 	a.OutputTokens = v.q.Prompt.Output
 	if hint := v.q.Prompt.Hint; hint > 0 && (a.OutputTokens == 0 || hint < a.OutputTokens) {
--- a/protocol/boxwire/group.go
+++ b/protocol/boxwire/group.go
@@ -68,6 +68,8 @@
 	Resume     bool
 	Avoid      []Ref
 	Kept       Ref
+	PatienceMS int64
+	Spill      bool
 }
 
 // Grant admits an ask.
@@ -185,6 +187,8 @@
 		Resume:       a.Resume,
 		Avoid:        refsOf(a.Avoid),
 		Kept:         RefOf(a.Kept),
+		PatienceMS:   a.Patience.Milliseconds(),
+		Spill:        a.Spill,
 	}
 	for _, hash := range a.Marks {
 		m.Marks = append(m.Marks, uint32(hash))
@@ -217,6 +221,8 @@
 		Resume:       a.Resume,
 		Avoid:        avoid,
 		Kept:         kept,
+		Patience:     time.Duration(a.PatienceMS) * time.Millisecond,
+		Spill:        a.Spill,
 	}
 	for i, hash := range a.Marks {
 		out.Marks = append(out.Marks, uint64(hash))
--- a/state/schedule/group.go
+++ b/state/schedule/group.go
@@ -98,10 +98,11 @@
 	zoneShare []float64
 	// zoneUse is the work that each zone was granted, decayed.
 	zoneUse []usage
-	// asks counts first asks, decayed slowly, and returns is when the next
-	// refused caller is told to come again.
+	// asks counts first asks, decayed slowly; returns is when the next refused
+	// caller is told to come again, and spread places those beyond that line.
 	asks    usage
 	returns int64
+	spread  float64
 	// releases counts decode slots that came free, decayed.
 	releases usage
 	turn     int
@@ -295,7 +296,7 @@
 		return g.baseline(now, a)
 	}
 	t := sinceStart(g.start, now)
-	if !a.Resume {
+	if !a.Resume && !a.Spill {
 		g.asks = g.asks.plus(t, 1, asksHalfLife)
 	}
 	w := g.waiter(a, t)
@@ -304,7 +305,13 @@
 	}
 	g.waiting = append(g.waiting, w)
 	out := g.pump(now)
-	if g.waits(a.ID) {
+	i := slices.Index(g.waiting, w)
+	switch {
+	case i < 0:
+	case a.Spill:
+		g.remove(i)
+		out = append(out, Refuse{Ask: a, Reason: lifecycle.ReasonHopeless, RetryAfter: retryFloor, Seen: g.inputs(w, t, 0)})
+	default:
 		out = append(out, Queued{Ask: a})
 	}
 	return out
--- a/state/schedule/memory_test.go
+++ b/state/schedule/memory_test.go
@@ -166,7 +166,7 @@
 		g := growing(1, 10_000)
 		last := time.Duration(0)
 		for range 10 {
-			after := g.comeBack(0, retryFloor)
+			after := g.comeBack(0, retryFloor, 0)
 			convey.So(after, convey.ShouldBeGreaterThan, last)
 			last = after
 		}
@@ -197,3 +197,79 @@
 		convey.So(grantsIn(g.Ask(later, askOf(2, 1000, 1000))), convey.ShouldBeGreaterThan, 0)
 	})
 }
+
+func TestComeBackWithinPatience(t *testing.T) {
+	convey.Convey("When more callers are refused than can be told a time of their own, they are spread over what they will wait", t, func() {
+		g := growing(1, 10_000)
+		const patience = 4 * time.Second
+		halves := [2]int{}
+		for range 200 {
+			after := g.comeBack(0, retryFloor, patience)
+			convey.So(after, convey.ShouldBeBetweenOrEqual, retryFloor, patience)
+			halves[min(int(2*after/patience), 1)]++
+		}
+		convey.So(halves[0], convey.ShouldBeGreaterThan, 20)
+		convey.So(halves[1], convey.ShouldBeGreaterThan, 100)
+	})
+	convey.Convey("Once the rush is over, the next refused caller is told a short time again", t, func() {
+		g := growing(1, 10_000)
+		for range 200 {
+			g.comeBack(0, retryFloor, 4*time.Second)
+		}
+		later := int64(10 * time.Second)
+		convey.So(g.comeBack(later, retryFloor, 4*time.Second), convey.ShouldBeLessThan, 2*time.Second)
+	})
+}
+
+// fullGroup is a group of one decode engine whose memory is taken by four
+// requests, the first of which ends in about a second.
+func fullGroup() (*Group, time.Time) {
+	g := growing(1, 10_000)
+	admitted(g, 4, start, 1000, 1000)
+	return g, start.Add(50 * time.Millisecond)
+}
+
+func TestSpill(t *testing.T) {
+	cases := map[string]struct {
+		full bool
+		want string
+	}{
+		"room":    {full: false, want: "move"},
+		"no room": {full: true, want: "target_cannot_be_met"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			convey.Convey("A request that another group refused is granted at once or refused, and books no time to come back", t, func() {
+				g, now := growing(1, 10_000), start
+				if c.full {
+					g, now = fullGroup()
+				}
+				a := askOf(10, 1000, 1000)
+				a.Spill = true
+				decisions := g.Ask(now, a)
+				convey.So(decisions, convey.ShouldHaveLength, 1)
+				convey.So(describe(decisions[0]), convey.ShouldEqual, c.want)
+				convey.So(g.Waiting(), convey.ShouldEqual, 0)
+				convey.So(g.returns, convey.ShouldEqual, 0)
+			})
+		})
+	}
+}
+
+func TestNoPrefillWithoutSlot(t *testing.T) {
+	convey.Convey("Where a prefill result lapses soon, none is made before a decode slot is there for it", t, func() {
+		g := growing(1, 1_000_000)
+		g.engines[1].spec.Slots = 3
+		g.refresh(1)
+		now := start
+		for n := range uint64(5) {
+			g.Done(now, Report{ID: askOf(100+n, 0, 0).ID})
+			for _, d := range g.Ask(now, askOf(n, 100, 100)) {
+				if grant, ok := d.(Grant); ok {
+					convey.So(grant.Plan.Decode, convey.ShouldEqual, "a")
+				}
+			}
+			now = now.Add(10 * time.Millisecond)
+		}
+	})
+}
--- a/state/schedule/queue.go
+++ b/state/schedule/queue.go
@@ -132,7 +132,8 @@
 // scarce it gets one when its prefill is done, so that no slot stands idle
 // meanwhile; then as many prefills may be under way as slots are free or
 // expected to come free by the time they end, the fewer beyond the free ones
-// the more wasted prefill counts.
+// the more wasted prefill counts. Engines whose memory grows keep results too
+// short a time for that: there a slot always comes with the grant.
 func (g *Group) bind(t, idle int64) {
 	v := &g.view
 	v.Late, v.Book = false, false
@@ -141,7 +142,7 @@
 	}
 	free, all := g.slots()
 	left := free - len(g.open)
-	v.Late = float64(left) <= scarceShare*float64(all)
+	v.Late = !g.cfg.Growing && float64(left) <= scarceShare*float64(all)
 	ahead := float64(idle + int64(bookAhead))
 	expected := g.releaseRate(t) * ahead * (1 - g.cfg.Targets.WasteWeight)
 	v.Book = float64(left)+expected >= 1
--- a/state/schedule/refuse.go
+++ b/state/schedule/refuse.go
@@ -4,6 +4,7 @@
 package schedule
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -14,8 +15,8 @@
 func (g *Group) refuseEarly(w *waiter, t int64) (Refuse, bool) {
 	refuse := func(reason lifecycle.Reason, after, wait int64) (Refuse, bool) {
 		retry := max(time.Duration(after), retryFloor)
-		if reason == lifecycle.ReasonHopeless {
-			retry = g.comeBack(t, retry)
+		if reason == lifecycle.ReasonHopeless && !w.ask.Spill {
+			retry = g.comeBack(t, retry, w.ask.Patience)
 		}
 		return Refuse{Ask: w.ask, Reason: reason, RetryAfter: retry, Seen: g.inputs(w, t, wait)}, true
 	}
@@ -70,15 +71,32 @@
 // comeBack tells a refused caller when to come again: at the earliest after
 // the given wait, and each after the one before, at the rate that the group
 // can serve beside its usual asks. Callers that all came back at once would be
-// refused again.
-func (g *Group) comeBack(t int64, after time.Duration) time.Duration {
+// refused again, so those for whom the line is longer than they will wait are
+// spread over the later part of that time.
+func (g *Group) comeBack(t int64, after, patience time.Duration) time.Duration {
 	releases := max(g.releaseRate(t), minReleaseRate)
 	usual := g.asks.rate(t, asksHalfLife)
 	spare := max(releases-usual, releases*leastSpare)
-	g.returns = max(g.returns, t+int64(after)) + int64(1/spare)
-	return time.Duration(g.returns - t)
+	next := max(g.returns, t+int64(after)) + int64(1/spare)
+	if patience <= 0 || next-t <= int64(patience) {
+		g.returns = next
+		return time.Duration(next - t)
+	}
+	g.spread += goldenRatio
+	g.spread -= math.Floor(g.spread)
+	earliest := min(max(after, time.Duration(spreadFrom*float64(patience))), patience)
+	return earliest + time.Duration(g.spread*float64(patience-earliest))
 }
 
+const (
+	// spreadFrom is the part of a caller's patience after which those who have
+	// no time of their own are told to come.
+	spreadFrom = 0.4
+	// goldenRatio steps through an interval so that any number of steps lie
+	// evenly in it.
+	goldenRatio = 0.6180339887
+)
+
 // canDecode says whether the group has any engine to decode on for an ask that
 // avoids some. One that is ejected counts: it comes back.
 func (g *Group) canDecode(avoid []string) bool {
@@ -154,7 +172,7 @@
 		}
 		g.remove(i)
 		wait := g.waitNS(w, t)
-		retry := g.comeBack(t, max(time.Duration(wait), retryFloor))
+		retry := g.comeBack(t, max(time.Duration(wait), retryFloor), w.ask.Patience)
 		out = append(out, Refuse{Ask: w.ask, Reason: lifecycle.ReasonHopeless, RetryAfter: retry, Seen: g.inputs(w, t, wait)})
 	}
 	return out
--- a/state/schedule/types.go
+++ b/state/schedule/types.go
@@ -134,6 +134,12 @@
 	Avoid []string
 	// Kept is the engine that still keeps the request's prefill result.
 	Kept string
+	// Patience is the longest wait that the caller accepts if it is refused
+	// and told when to come again; 0 is not known.
+	Patience time.Duration
+	// Spill is true when the group that the request belongs to has refused it:
+	// this one grants it at once, or refuses and books no time to come back.
+	Spill bool
 }
 
 // Decision is what the group says about an ask. Exactly one of the types
