Three boxes follow the endpoints and tell the others

Change: the first three boxes in rank follow the list and pass what they read along a tree of boxes, with the platform's revisions that it lies between. A box that has had no news that fits for 1.1 s follows the list itself; a gap is asked for; a lost history or platform is told too, and the table's generation goes with it.

Tests: TestOracleNews (never back, never a gap), TestNewsReachesEveryBoxOnce, TestMissedNewsIsAskedFor, TestNewsKeepsABoxFromFollowing, TestNewsThatCoversNobody, TestNewsDoesNotGoInCircles.

--- a/box/box.go
+++ b/box/box.go
@@ -89,6 +89,7 @@
 	// ownPlatform is closed with the box.
 	ownPlatform *platformhttp.Client
 	net         *boxnet.Net
+	others      peers
 	follower    *follow.Follower
 	homes       *home.Homes
 	router      *home.Router
@@ -198,6 +199,7 @@
 		Log:         o.Log,
 	})
 	others := peers{net: b.net, generation: func() uint64 { return b.follower.Table().Generation }}
+	b.others = others
 	b.router = home.NewRouter(s.Name, others)
 	b.follower = follow.New(follow.Config{
 		Self:     s.Name,
--- a/box/routed.go
+++ b/box/routed.go
@@ -96,6 +96,9 @@
 		OnChange: b.setDirectory,
 		OnLost:   b.follower.Refresh,
 		Pause:    b.changePause,
+		Self:     b.settings.Name,
+		Peers:    b.others,
+		Ranked:   b.router.Ranked,
 		Log:      b.options.Log,
 	})
 	r.relay = relay.New(relay.Config{
--- a/box/wire.go
+++ b/box/wire.go
@@ -12,6 +12,7 @@
 	"runridge.example/runridge/modules/log"
 	"runridge.example/runridge/modules/ring"
 	"runridge.example/runridge/protocol/boxwire"
+	"runridge.example/runridge/state/directory"
 	"runridge.example/runridge/state/lifecycle"
 	"runridge.example/runridge/state/member"
 	"runridge.example/runridge/state/schedule"
@@ -60,6 +61,17 @@
 	_ = p.net.Send(to, &boxwire.Pull{Have: have})
 }
 
+// SendNews tells another box what has changed among the endpoints.
+func (p peers) SendNews(to string, n directory.News) {
+	// News that is lost leaves a gap before the next, which is asked for.
+	_ = p.net.Send(to, &boxwire.News{News: n, Generation: p.generation()})
+}
+
+// SendNewsPull asks another box for its whole directory.
+func (p peers) SendNewsPull(to string) {
+	_ = p.net.Send(to, &boxwire.NewsPull{})
+}
+
 // receiveChange reads a change of the table.
 func (b *Box) receiveChange(from string, m *boxwire.Change) {
 	var d table.Delta
@@ -120,11 +132,25 @@
 		b.receiveChange(from, m)
 	case *boxwire.Pull:
 		b.follower.Pull(from, m.Have)
+	case *boxwire.News:
+		b.follower.Heard(from, m.Generation)
+		b.receiveNews(from, m.News)
+	case *boxwire.NewsPull:
+		if b.routed != nil {
+			b.routed.discoverer.Pull(from)
+		}
 	default:
 		b.receiveCommand(sender, names, m)
 	}
 }
 
+// receiveNews takes news of the endpoints.
+func (b *Box) receiveNews(from string, n directory.News) {
+	if b.routed != nil {
+		b.routed.discoverer.Receive(from, n)
+	}
+}
+
 // receiveCommand takes a message to a group that this box may be home of.
 func (b *Box) receiveCommand(sender boxwire.Owner, names *boxwire.Names, m boxwire.Message) {
 	offer := func(group boxwire.Ref, body home.Body) {
--- a/coordination/discover/discover.go
+++ b/coordination/discover/discover.go
@@ -1,8 +1,9 @@
 // Copyright 2026 The Runridge Authors. All rights reserved.
 // SPDX-License-Identifier: MIT
 
-// Package discover keeps a box's directory of endpoints: one goroutine that
-// follows the platform's list.
+// Package discover keeps a box's directory of endpoints. A few boxes follow the
+// platform's list and tell the others; a box that has had no news for a second
+// follows the list itself.
 package discover
 
 import (
@@ -45,6 +46,13 @@
 	// OnLost is called when the platform has forgotten its history, stopped
 	// answering or answers again: what else waits for it may wait in vain.
 	OnLost func()
+	// Self is this box's name, and Peers takes news to others; without Peers the
+	// box follows the list alone.
+	Self  string
+	Peers Peers
+	// Ranked lists the boxes with duties in an order that all boxes agree on
+	// for a key.
+	Ranked func(key string) []string
 	Log    log.Logger
 }
 
@@ -68,6 +76,7 @@
 	fresh bool
 	// gathered is the revision after which changes were last gathered.
 	gathered uint64
+	shared   shared
 }
 
 // New makes the duty; Run starts it.
@@ -78,7 +87,7 @@
 	if cfg.Keep <= 0 {
 		cfg.Keep = defaultKeep
 	}
-	return &Discoverer{cfg: cfg}
+	return &Discoverer{cfg: cfg, shared: shared{seen: make(map[string]heard)}}
 }
 
 // Directory is what is known now.
@@ -129,6 +138,10 @@
 	pauses.MaxInterval = longestPause
 	whole, lost := true, false
 	for ctx.Err() == nil {
+		if watch, left := d.watching(time.Now()); !watch {
+			pause.For(ctx, left)
+			continue
+		}
 		err := d.once(ctx, whole)
 		switch {
 		case err == nil && whole:
@@ -140,6 +153,7 @@
 			if lost {
 				d.cfg.Log.Info("endpoint_list_regained")
 				d.lost()
+				d.tell(d.lostNews())
 			}
 			lost = false
 		case errors.Is(err, adapter.ErrHistoryGone):
@@ -147,11 +161,13 @@
 			// The changes since an old list are forgotten too.
 			whole, d.fresh = true, true
 			d.lost()
+			d.tell(d.lostNews())
 			pause.For(ctx, pauses.NextBackOff())
 		case ctx.Err() == nil:
 			d.cfg.Log.WithError(err).Warn("endpoint_list_failed")
 			if !lost {
 				d.lost()
+				d.tell(d.lostNews())
 			}
 			// All boxes that want a fresh list at once may be more than the
 			// platform takes.
@@ -184,9 +200,11 @@
 		d.update(func(known directory.Directory) directory.Directory {
 			return known.WithList(time.Now(), at, list)
 		})
+		d.tell(d.Directory().All())
 		return nil
 	}
-	changes, at, err := d.cfg.Source.EndpointChanges(ctx, d.Directory().At())
+	after := d.Directory().At()
+	changes, at, err := d.cfg.Source.EndpointChanges(ctx, after)
 	if err != nil {
 		return err
 	}
@@ -194,5 +212,6 @@
 		now := time.Now()
 		return known.WithChanges(now, at, changes).Without(now, d.cfg.Keep)
 	})
+	d.tell(directory.News{After: after, At: at, Changes: changes})
 	return nil
 }
--- /dev/null
+++ b/coordination/discover/share_test.go
@@ -0,0 +1,180 @@
+// Copyright 2026 The Runridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package discover
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"runridge.example/runridge/coordination/home"
+	"runridge.example/runridge/modules/log"
+	"runridge.example/runridge/state/directory"
+)
+
+// fleet is boxes whose news reaches the others at once.
+type fleet struct {
+	names []string
+	boxes map[string]*Discoverer
+	// got counts the news that each box was sent, and pulls the questions.
+	got, pulls map[string]int
+	cut        map[string]bool
+}
+
+func newFleet(n int, source Source) *fleet {
+	f := &fleet{boxes: make(map[string]*Discoverer), got: make(map[string]int), pulls: make(map[string]int), cut: make(map[string]bool)}
+	for i := range n {
+		f.names = append(f.names, fmt.Sprintf("b%03d", i))
+	}
+	for _, name := range f.names {
+		f.boxes[name] = New(Config{Source: source, Self: name, Peers: link{f, name}, Ranked: f.ranked, Log: log.Discard()})
+	}
+	return f
+}
+
+func (f *fleet) ranked(key string) []string { return home.Rank(key, f.names, len(f.names)) }
+
+// watchers are the boxes that follow the list for all, and other is the last
+// in rank.
+func (f *fleet) watchers() []string { return f.ranked(rankKey)[:watchers] }
+func (f *fleet) other() string      { return f.ranked(rankKey)[len(f.names)-1] }
+
+type link struct {
+	f    *fleet
+	from string
+}
+
+func (l link) SendNews(to string, n directory.News) {
+	if !l.f.cut[to] {
+		l.f.got[to]++
+		l.f.boxes[to].Receive(l.from, n)
+	}
+}
+
+func (l link) SendNewsPull(to string) {
+	l.f.pulls[to]++
+	l.f.boxes[to].Pull(l.from)
+}
+
+func TestNewsReachesEveryBoxOnce(t *testing.T) {
+	f := newFleet(150, nil)
+	first := f.watchers()[0]
+	f.boxes[first].tell(directory.News{After: 0, At: 3, Changes: []directory.Change{{Entry: entry("a")}}})
+	for _, name := range f.names {
+		want := 1
+		if name == first {
+			want = 0
+		}
+		if f.got[name] != want {
+			t.Errorf("%s got the news %d times", name, f.got[name])
+		}
+		if at := f.boxes[name].Directory().At(); want == 1 && at != 3 {
+			t.Errorf("%s stands at %d", name, at)
+		}
+	}
+	f.boxes[f.other()].tell(directory.News{After: 3, At: 4})
+	if f.boxes[first].Directory().At() == 4 {
+		t.Error("a box that is no watcher told others what it read")
+	}
+}
+
+func TestMissedNewsIsAskedFor(t *testing.T) {
+	f := newFleet(5, nil)
+	first, other := f.watchers()[0], f.other()
+	step := func(at uint64, id string) {
+		n := directory.News{After: at - 1, At: at, Changes: []directory.Change{{Entry: entry(id)}}}
+		f.boxes[first].update(func(d directory.Directory) directory.Directory { return d.WithNews(time.Time{}, n) })
+		f.boxes[first].tell(n)
+	}
+	step(1, "a")
+	f.cut[other] = true
+	step(2, "b")
+	f.cut[other] = false
+	step(3, "c")
+	d := f.boxes[other].Directory()
+	if d.Len() != 3 || d.At() != 3 {
+		t.Errorf("after a gap the box knows %d endpoints at %d, asked %v", d.Len(), d.At(), f.pulls)
+	}
+}
+
+func TestNewsKeepsABoxFromFollowing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := scripted{calls: make(chan call)}
+		f := newFleet(6, s)
+		box := f.boxes[f.other()]
+		ctx, end := context.WithCancel(t.Context())
+		defer end()
+		go func() { _ = box.Run(ctx) }()
+		s.next().reply <- reply{list: []directory.Entry{entry("a")}, at: 5}
+		synctest.Wait()
+		news := func(after, at uint64, lost bool) {
+			box.Receive(f.watchers()[0], directory.News{Origin: f.watchers()[0], Sequence: at, After: after, At: at, Lost: lost})
+		}
+		news(5, 6, false)
+		s.next().reply <- reply{at: 6}
+		synctest.Wait()
+		// From here on only news comes: no call may follow while it does.
+		for at := uint64(7); at < 12; at++ {
+			time.Sleep(coverTime / 2)
+			news(at-1, at, false)
+			select {
+			case c := <-s.calls:
+				t.Fatalf("the box asked the platform after %d although it has news", c.after)
+			default:
+			}
+		}
+		time.Sleep(coverTime + time.Millisecond)
+		if c := s.next(); c.after != 11 {
+			t.Errorf("after the news ended the box goes on after %d", c.after)
+		}
+	})
+}
+
+func TestNewsThatCoversNobody(t *testing.T) {
+	cases := map[string]directory.News{
+		"older than what is known": {Origin: "b", Sequence: 1, After: 1, At: 2},
+		"the platform is lost":     {Origin: "b", Sequence: 1, After: 5, At: 5, Lost: true},
+		"with a gap":               {Origin: "b", Sequence: 1, After: 7, At: 9},
+	}
+	for name, n := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(6, nil)
+			f.names = append(f.names, "b")
+			f.boxes["b"] = New(Config{Self: "b", Peers: link{f, "b"}, Ranked: f.ranked, Log: log.Discard()})
+			box := f.boxes[f.other()]
+			if box.cfg.Self == "b" {
+				box = f.boxes[f.ranked(rankKey)[len(f.names)-2]]
+			}
+			box.update(func(d directory.Directory) directory.Directory {
+				return d.WithList(time.Now(), 5, []directory.Entry{entry("a")})
+			})
+			lost := 0
+			box.cfg.OnLost = func() { lost++ }
+			box.Receive("b", n)
+			if watch, _ := box.watching(time.Now()); !watch {
+				t.Error("the box relies on it")
+			}
+			if n.Lost != (lost == 1) {
+				t.Errorf("told of a loss %d times", lost)
+			}
+		})
+	}
+}
+
+func TestNewsDoesNotGoInCircles(t *testing.T) {
+	f := newFleet(20, nil)
+	// Each box ranks the others in an order of its own.
+	for i, name := range f.names {
+		f.boxes[name].cfg.Ranked = func(string) []string { return append(slices.Clone(f.names[i:]), f.names[:i]...) }
+	}
+	f.boxes["b000"].tell(directory.News{At: 1})
+	for name, n := range f.got {
+		if n > 20 {
+			t.Errorf("%s got the same news %d times", name, n)
+		}
+	}
+}
--- a/protocol/boxwire/boxwire.go
+++ b/protocol/boxwire/boxwire.go
@@ -17,6 +17,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"runridge.example/runridge/state/directory"
 	"runridge.example/runridge/state/member"
 )
 
@@ -45,10 +46,13 @@
 	KindCopied
 	KindJoin
 	KindPiece
+	KindNews
+	KindNewsPull
 )
 
 const (
-	// MaxFrame bounds one frame's body, in bytes. Only a whole table comes near.
+	// MaxFrame bounds one frame's body, in bytes. Only a whole table and a whole
+	// directory come near.
 	MaxFrame = 4 << 20
 	// maxSmall bounds every other message: an item of a list is a byte on the
 	// wire and much more in memory.
@@ -57,7 +61,7 @@
 
 // limit is the most that a message's body may have.
 func (k Kind) limit() int {
-	if k == KindChange {
+	if k == KindChange || k == KindNews {
 		return MaxFrame
 	}
 	return maxSmall
@@ -97,6 +101,22 @@
 	Have uint64
 }
 
+// News tells what has changed among the endpoints. Generation is the sender's
+// table.
+type News struct {
+	News       directory.News
+	Generation uint64
+}
+
+// NewsPull asks for the whole directory.
+type NewsPull struct{}
+
+// Kind is KindNews.
+func (*News) Kind() Kind { return KindNews }
+
+// Kind is KindNewsPull.
+func (*NewsPull) Kind() Kind { return KindNewsPull }
+
 // Kind is KindHello.
 func (*Hello) Kind() Kind { return KindHello }
 
@@ -131,6 +151,8 @@
 	KindCopied:    func() Message { return &Copied{} },
 	KindJoin:      func() Message { return &Join{} },
 	KindPiece:     func() Message { return &Piece{} },
+	KindNews:      func() Message { return &News{} },
+	KindNewsPull:  func() Message { return &NewsPull{} },
 }
 
 // Append adds the frame of a message to buf.
--- a/protocol/boxwire/boxwire_test.go
+++ b/protocol/boxwire/boxwire_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/smartystreets/goconvey/convey"
 
+	"runridge.example/runridge/state/directory"
 	"runridge.example/runridge/state/example"
 	"runridge.example/runridge/state/lifecycle"
 	"runridge.example/runridge/state/member"
@@ -42,6 +43,8 @@
 		&Member{Message: member.Message{Kind: member.Ping, Sequence: 3, News: []member.Box{{Name: "a", State: member.Dead}}}, Generation: 8},
 		&Change{Delta: []byte("{}")},
 		&Pull{Have: 4},
+		&News{News: directory.News{Origin: "box-1", Sequence: 7, After: 3, At: 9, Changes: []directory.Change{{Entry: directory.Entry{ID: "e", Draining: true}, Gone: true}}}, Generation: 2},
+		&NewsPull{},
 	}
 }
 
@@ -65,6 +68,7 @@
 			ID: attempt(), Box: owner.Box, Account: "mesa-sur", PromptTokens: 900, OutputTokens: 64,
 			Marks: []uint64{11, 12}, MarkTokens: []int{256, 512}, Waited: 3 * time.Millisecond,
 			Avoid: []string{"lm-porta-decode-2"}, Kept: "lm-porta-prefill-1", Resume: true,
+			Patience: 4 * time.Second, Spill: true,
 		}
 		convey.Convey("comes back whole", func() {
 			got, known := FromAsk("lm-porta", want).Ask(names, owner)
--- /dev/null
+++ b/state/directory/news_test.go
@@ -0,0 +1,99 @@
+// Copyright 2026 The Runridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package directory
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+)
+
+// history is the platform's list as it was at each of its revisions.
+type history struct {
+	lists   []map[string]Entry
+	changes []Change
+}
+
+func (h *history) step(t *rapid.T) {
+	next := make(map[string]Entry)
+	for id, e := range h.lists[len(h.lists)-1] {
+		next[id] = e
+	}
+	id := fmt.Sprintf("e%d", rapid.IntRange(0, 4).Draw(t, "endpoint"))
+	old, there := next[id]
+	c := Change{Entry: Entry{ID: id, Service: "s", Address: id}}
+	switch {
+	case there && rapid.Bool().Draw(t, "ends"):
+		c.Gone = true
+		delete(next, id)
+	case there:
+		old.Draining = !old.Draining
+		c.Entry = old
+		next[id] = old
+	default:
+		next[id] = c.Entry
+	}
+	h.changes = append(h.changes, c)
+	h.lists = append(h.lists, next)
+}
+
+// news draws news as a box at any revision could have told it.
+func (h *history) news(t *rapid.T) News {
+	at := rapid.IntRange(1, len(h.lists)-1).Draw(t, "at")
+	n := News{At: uint64(at)}
+	if rapid.Bool().Draw(t, "whole") {
+		n.Whole = true
+		for _, e := range h.lists[at] {
+			n.Changes = append(n.Changes, Change{Entry: e})
+		}
+		return n
+	}
+	n.After = uint64(rapid.IntRange(0, at).Draw(t, "after"))
+	n.Changes = h.changes[n.After:at]
+	return n
+}
+
+func TestOracleNews(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := &history{lists: []map[string]Entry{{}}}
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			h.step(t)
+		}
+		now := time.Unix(0, 0)
+		var d Directory
+		for range rapid.IntRange(1, 12).Draw(t, "news") {
+			before := d.At()
+			d = d.WithNews(now, h.news(t))
+			if d.At() < before {
+				t.Fatalf("went back from revision %d to %d", before, d.At())
+			}
+			for id, e := range h.lists[d.At()] {
+				if w, ok := d.Word(id); !ok || w.Gone || w.Entry != e {
+					t.Fatalf("at revision %d %s is %+v, not %+v", d.At(), id, w, e)
+				}
+			}
+			for _, w := range d.Words("s") {
+				if _, listed := h.lists[d.At()][w.ID]; !listed && !w.Gone {
+					t.Fatalf("at revision %d %s is still there", d.At(), w.ID)
+				}
+			}
+		}
+	})
+}
+
+func TestAllIsNews(t *testing.T) {
+	convey.Convey("What one box knows, another takes over whole, and what has gone stays out", t, func() {
+		now := time.Unix(0, 0)
+		d := Directory{}.WithList(now, 4, []Entry{{ID: "a", Service: "s"}, {ID: "b", Service: "s", Draining: true}})
+		d = d.WithChanges(now, 6, []Change{{Entry: Entry{ID: "a"}, Gone: true}})
+		other := Directory{}.WithNews(now, d.All())
+		convey.So(other.At(), convey.ShouldEqual, 6)
+		convey.So(other.Len(), convey.ShouldEqual, 1)
+		w, _ := other.Word("b")
+		convey.So(w.Draining, convey.ShouldBeTrue)
+	})
+}
