Entries that lapsed in an outage have time to come back

Cause: endpoints that could not write their entries while the platform was away are missing from its list when it returns, and live; they were out at once, and came back up to two seconds later.

Change: after an outage that this box has noticed itself (a failed call, and 1.5 s without a word from anybody) entries that are missing are doubted for 1.8 s and their endpoints used on, unless they had said that they leave. Less than the shortest time in which a leaving endpoint must be known.

--- a/coordination/discover/discover.go
+++ b/coordination/discover/discover.go
@@ -77,6 +77,7 @@
 	// gathered is the revision after which changes were last gathered.
 	gathered uint64
 	shared   shared
+	outage   outage
 }
 
 // New makes the duty; Run starts it.
@@ -87,7 +88,7 @@
 	if cfg.Keep <= 0 {
 		cfg.Keep = defaultKeep
 	}
-	return &Discoverer{cfg: cfg, shared: shared{seen: make(map[string]heard)}}
+	return &Discoverer{cfg: cfg, outage: outage{heard: time.Now()}, shared: shared{seen: make(map[string]heard)}}
 }
 
 // Directory is what is known now.
@@ -164,6 +165,7 @@
 			d.tell(d.lostNews())
 			pause.For(ctx, pauses.NextBackOff())
 		case ctx.Err() == nil:
+			d.noteFailed()
 			d.cfg.Log.WithError(err).Warn("endpoint_list_failed")
 			if !lost {
 				d.lost()
@@ -197,6 +199,7 @@
 		if err != nil {
 			return err
 		}
+		d.noteHeard(time.Now())
 		d.update(func(known directory.Directory) directory.Directory {
 			return known.WithList(time.Now(), at, list)
 		})
@@ -208,6 +211,7 @@
 	if err != nil {
 		return err
 	}
+	d.noteHeard(time.Now())
 	d.update(func(known directory.Directory) directory.Directory {
 		now := time.Now()
 		return known.WithChanges(now, at, changes).Without(now, d.cfg.Keep)
--- a/coordination/discover/share.go
+++ b/coordination/discover/share.go
@@ -141,7 +141,11 @@
 	if fits && n.At >= d.known.At() && !n.Lost {
 		d.shared.covered = now
 	}
+	current := d.shared.covered.Equal(now)
 	d.mutex.Unlock()
+	if current {
+		d.noteHeard(now)
+	}
 	if fits {
 		d.update(func(known directory.Directory) directory.Directory { return known.WithNews(now, n) })
 	} else {
--- a/coordination/discover/share_test.go
+++ b/coordination/discover/share_test.go
@@ -178,3 +178,38 @@
 		}
 	}
 }
+
+func TestEntriesMayLapseInAnOutage(t *testing.T) {
+	cases := map[string]struct {
+		away   time.Duration
+		failed bool
+		usable bool
+	}{
+		"after an outage":               {away: 3 * time.Second, failed: true, usable: true},
+		"after a short failure":         {away: 500 * time.Millisecond, failed: true},
+		"after a silence without fault": {away: 3 * time.Second},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(6, nil)
+				box := f.boxes[f.other()]
+				from := f.watchers()[0]
+				box.Receive(from, directory.News{Origin: from, Sequence: 1, At: 5, Changes: []directory.Change{{Entry: entry("a")}}})
+				time.Sleep(c.away)
+				if c.failed {
+					box.noteFailed()
+				}
+				box.Receive(from, directory.News{Origin: from, Sequence: 2, After: 5, At: 6, Changes: []directory.Change{{Entry: entry("a"), Gone: true}}})
+				if w, _ := box.Directory().Word("a"); w.Usable() != c.usable {
+					t.Errorf("usable: %v", w.Usable())
+				}
+				time.Sleep(doubtTime + time.Millisecond)
+				synctest.Wait()
+				if w, _ := box.Directory().Word("a"); w.Usable() {
+					t.Error("an endpoint that did not come back is still used")
+				}
+			})
+		})
+	}
+}
--- a/state/directory/directory.go
+++ b/state/directory/directory.go
@@ -44,6 +44,9 @@
 	Since time.Time
 	// Left says that the endpoint itself proved not to be this one any more.
 	Left bool
+	// Doubted says that the platform does not list the endpoint, and may list it
+	// again: its entry may have lapsed while the platform was away.
+	Doubted bool
 }
 
 // Usable says whether the endpoint may get new work.
@@ -56,6 +59,8 @@
 	// at is the platform's revision that the directory stands at.
 	at    uint64
 	words map[string]Word
+	// doubt is until when an entry that is missing may only have lapsed.
+	doubt time.Time
 }
 
 // Change is one change that the platform told.
@@ -104,7 +109,7 @@
 		changes = append(changes, Change{Entry: e})
 	}
 	for id, w := range d.words {
-		if !listed[id] && !w.Gone {
+		if !listed[id] && !w.Gone && !w.Doubted {
 			changes = append(changes, Change{Entry: w.Entry, Gone: true})
 		}
 	}
@@ -129,7 +134,10 @@
 		if c.Gone {
 			w.Entry = old.Entry
 		}
-		if known && w.Entry == old.Entry && w.Gone == old.Gone {
+		if c.Gone && now.Before(d.doubt) && !old.Draining && !old.Gone {
+			w.Gone, w.Doubted = false, true
+		}
+		if known && w.Entry == old.Entry && w.Gone == old.Gone && w.Doubted == old.Doubted {
 			continue
 		}
 		if !changed {
--- a/state/directory/news.go
+++ b/state/directory/news.go
@@ -45,7 +45,7 @@
 func (d Directory) All() News {
 	n := News{At: d.at, Whole: true}
 	for _, w := range d.words {
-		if !w.Gone {
+		if !w.Gone && !w.Doubted {
 			n.Changes = append(n.Changes, Change{Entry: w.Entry})
 		}
 	}
--- a/state/schedule/memory_test.go
+++ b/state/schedule/memory_test.go
@@ -122,12 +122,12 @@
 	return n
 }
 
-// admitted asks for n requests, the prefill of each done before the next, and
-// counts those that began.
-func admitted(g *Group, n uint64, at time.Time, prompt, output int) int {
+// admitted asks for n requests of 1,000 tokens and as long an answer, the prefill
+// of each done before the next, and counts those that began.
+func admitted(g *Group, n uint64, at time.Time) int {
 	count := 0
 	for i := range n {
-		a := askOf(i, prompt, output)
+		a := askOf(i, 1000, 1000)
 		count += grantsIn(g.Ask(at, a))
 		g.Prefilled(at, a.ID, 0, 0)
 		at = at.Add(10 * time.Millisecond)
@@ -138,11 +138,11 @@
 func TestGrowingMemory(t *testing.T) {
 	convey.Convey("An engine takes what fits at its highest point, and no more", t, func() {
 		// 1,000 tokens of prompt and 1,150 expected of the answer, in 8,800.
-		convey.So(admitted(growing(1, 10_000), 12, start, 1000, 1000), convey.ShouldEqual, 4)
+		convey.So(admitted(growing(1, 10_000), 12, start), convey.ShouldEqual, 4)
 	})
 	convey.Convey("A run whose answer was lost still holds its memory, and not for ever", t, func() {
 		g := growing(1, 10_000)
-		convey.So(admitted(g, 4, start, 1000, 1000), convey.ShouldEqual, 4)
+		convey.So(admitted(g, 4, start), convey.ShouldEqual, 4)
 		now := start.Add(50 * time.Millisecond)
 		for i := range uint64(4) {
 			g.Done(now, Report{ID: askOf(i, 0, 0).ID, Failed: "a", Running: true})
@@ -154,7 +154,7 @@
 	})
 	convey.Convey("A run that is over gives its memory back at once", t, func() {
 		g := growing(1, 10_000)
-		admitted(g, 4, start, 1000, 1000)
+		admitted(g, 4, start)
 		now := start.Add(50 * time.Millisecond)
 		g.Done(now, Report{ID: askOf(0, 0, 0).ID, Finished: true})
 		convey.So(grantsIn(g.Ask(now, askOf(10, 1000, 1000))), convey.ShouldEqual, 1)
@@ -225,7 +225,7 @@
 // requests, the first of which ends in about a second.
 func fullGroup() (*Group, time.Time) {
 	g := growing(1, 10_000)
-	admitted(g, 4, start, 1000, 1000)
+	admitted(g, 4, start)
 	return g, start.Add(50 * time.Millisecond)
 }
 
