Dead boxes are taken off the platform's list

Cause: the entry of a box that died stayed for good, so that the parts of shared bounds shrank with every replaced box.

Change: coordination/registry. The first box in rank removes entries of boxes that have been dead for 20 s, on condition that they were not written anew; a box that finds itself missing joins again.

--- a/box/box.go
+++ b/box/box.go
@@ -399,7 +399,7 @@
 	if b.routed != nil {
 		running.Go(func() error { return b.routed.discoverer.Run(duties) })
 		running.Go(func() error { return b.mergeChanges(duties) })
-		running.Go(func() error { return b.register(duties) })
+		running.Go(func() error { return b.routed.registry.Run(duties) })
 		running.Go(func() error { return b.serveReady(duties) })
 		running.Go(func() error { return b.routed.server.Serve(duties, b.routed.listener) })
 	}
--- a/box/measured.go
+++ b/box/measured.go
@@ -83,9 +83,9 @@
 }
 
 // Remove takes a box off the list.
-func (m measured) Remove(ctx context.Context, name string) error {
+func (m measured) Remove(ctx context.Context, name string, version uint64) error {
 	begin := time.Now()
-	err := m.RelayPlatform.Remove(ctx, name)
+	err := m.RelayPlatform.Remove(ctx, name, version)
 	m.note("remove", begin, err)
 	return err
 }
--- a/box/routed.go
+++ b/box/routed.go
@@ -12,15 +12,13 @@
 	"runtime/debug"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
-
 	"runridge.example/runridge/coordination/adapter"
 	"runridge.example/runridge/coordination/discover"
 	"runridge.example/runridge/coordination/dispatch"
 	"runridge.example/runridge/coordination/follow"
 	members "runridge.example/runridge/coordination/member"
+	"runridge.example/runridge/coordination/registry"
 	"runridge.example/runridge/coordination/relay"
-	"runridge.example/runridge/modules/log"
 	"runridge.example/runridge/modules/pause"
 	"runridge.example/runridge/modules/ring"
 	"runridge.example/runridge/modules/setting"
@@ -36,14 +34,6 @@
 	"runridge.example/runridge/transport/upstream"
 )
 
-// Registry is the platform's list of boxes, kept by the boxes themselves.
-type Registry interface {
-	// Join puts a box on the list, in place of what stands under its name.
-	Join(ctx context.Context, b adapter.Box) error
-	// Remove takes a box off the list.
-	Remove(ctx context.Context, name string) error
-}
-
 // Platform is what a box reads of the platform.
 type Platform interface {
 	follow.Platform
@@ -54,7 +44,7 @@
 type RelayPlatform interface {
 	Platform
 	discover.Source
-	Registry
+	registry.Platform
 }
 
 // routed is the part of a box that serves routed services.
@@ -64,6 +54,7 @@
 	server     *relayhttp.Server
 	endpoints  *upstream.Client
 	discoverer *discover.Discoverer
+	registry   *registry.Keeper
 	listener   net.Listener
 	ready      net.Listener
 	// changed is poked when the directory has changed.
@@ -74,10 +65,8 @@
 	// spareBoxes is how many boxes that join may not be known yet when a
 	// bound is shared out.
 	spareBoxes = 2
-	// registerWait bounds one call to the registry.
-	registerWait    = 2 * time.Second
-	registerPause   = 100 * time.Millisecond
-	registerLongest = 2 * time.Second
+	// readyPatience bounds the reading of one question of the balancer.
+	readyPatience = 2 * time.Second
 	// freshSettle is how long a box that starts waits for others' word on the
 	// table when the platform's reads are never stale.
 	freshSettle = 300 * time.Millisecond
@@ -114,6 +103,13 @@
 		Metrics:      b.metrics,
 		Log:          b.options.Log,
 	})
+	r.registry = registry.New(registry.Config{
+		Self:     adapter.Box{Name: b.settings.Name, Address: b.BoxAddr(), Zone: b.settings.Zone},
+		Platform: r.platform,
+		Members:  b.members.Snapshot,
+		Ranked:   b.router.Ranked,
+		Log:      b.options.Log,
+	})
 	r.server = relayhttp.New(relayhttp.Config{Relay: r.relay, Names: names, Log: b.options.Log})
 }
 
@@ -227,7 +223,7 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: registerWait}
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: readyPatience}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
 	if err := server.Serve(b.routed.ready); !errors.Is(err, http.ErrServerClosed) {
@@ -236,26 +232,6 @@
 	return nil
 }
 
-// register puts this box on the platform's list and keeps trying until it is.
-func (b *Box) register(ctx context.Context) error {
-	pauses := backoff.NewExponentialBackOff()
-	pauses.InitialInterval = registerPause
-	pauses.MaxInterval = registerLongest
-	self := adapter.Box{Name: b.settings.Name, Address: b.BoxAddr(), Zone: b.settings.Zone}
-	for ctx.Err() == nil {
-		call, cancel := context.WithTimeout(ctx, registerWait)
-		err := b.routed.platform.Join(call, self)
-		cancel()
-		if err == nil {
-			b.options.Log.Info("box_registered")
-			return nil
-		}
-		b.options.Log.WithError(err).Warn("box_register_failed")
-		pause.For(ctx, pauses.NextBackOff())
-	}
-	return nil
-}
-
 // decisions hands the homes' decisions to whichever part asked.
 type decisions struct {
 	// relay is nil on a box without routed services.
@@ -383,9 +359,5 @@
 		return
 	}
 	b.routed.server.Leave()
-	call, cancel := context.WithTimeout(ctx, registerWait)
-	defer cancel()
-	if err := b.routed.platform.Remove(call, b.settings.Name); err != nil {
-		b.options.Log.WithFields(log.Fields{"step": "remove"}).WithError(err).Info("box_register_failed")
-	}
+	b.routed.registry.Leave(ctx)
 }
--- a/coordination/adapter/adapter.go
+++ b/coordination/adapter/adapter.go
@@ -160,6 +160,8 @@
 	Address string
 	Zone    string
 	Leaving bool
+	// Version is that of the entry; it changes with each write.
+	Version uint64
 }
 
 // ErrHistoryGone is returned for a wait from a position that the platform has
--- a/coordination/member/member.go
+++ b/coordination/member/member.go
@@ -47,9 +47,9 @@
 	Duty []member.Box
 	// All are all boxes that are remembered, the dead included.
 	All []member.Box
-	// Listed are the names on the platform's list when it was last read;
-	// empty before that.
-	Listed map[string]bool
+	// Listed are the entries on the platform's list when it was last read, by
+	// name; empty before that.
+	Listed map[string]adapter.Box
 }
 
 // Box finds a box by name.
@@ -84,7 +84,7 @@
 	leave    chan struct{}
 	refused  chan string
 	snapshot atomic.Pointer[Snapshot]
-	listed   map[string]bool
+	listed   map[string]adapter.Box
 }
 
 // New makes the duty; Run starts it.
@@ -191,9 +191,9 @@
 }
 
 func (m *Members) introduce(view *member.View, now time.Time, list []adapter.Box) {
-	m.listed = make(map[string]bool, len(list))
+	m.listed = make(map[string]adapter.Box, len(list))
 	for _, b := range list {
-		m.listed[b.Name] = true
+		m.listed[b.Name] = b
 		if b.Name == m.cfg.View.Self.Name {
 			continue
 		}
--- a/coordination/owner/owner.go
+++ b/coordination/owner/owner.go
@@ -66,7 +66,8 @@
 func (j *Judge) Of(ctx context.Context, id lifecycle.RequestID) Verdict {
 	view := j.cfg.Members()
 	b, known := view.Box(id.Box)
-	unlisted := len(view.Listed) > 0 && !view.Listed[id.Box]
+	_, listed := view.Listed[id.Box]
+	unlisted := len(view.Listed) > 0 && !listed
 	switch {
 	case !known && unlisted:
 		return Gone
--- a/transport/platformhttp/platformhttp.go
+++ b/transport/platformhttp/platformhttp.go
@@ -77,7 +77,7 @@
 	}
 	out := make([]adapter.Box, 0, len(list.Boxes))
 	for _, b := range list.Boxes {
-		out = append(out, adapter.Box(b))
+		out = append(out, adapter.Box{Name: b.Name, Address: b.Address, Zone: b.Zone, Leaving: b.Leaving})
 	}
 	return out, nil
 }
