Grants of processes that are no more come free

A box that was killed and came back before the others took it for dead kept its old grants there: the home's question about them reached the new process, whose answers carry its own incarnation and match nothing.

Change: a home gives back what a box asked for before the start that membership names.

--- a/box/box.go
+++ b/box/box.go
@@ -485,15 +485,16 @@
 // each box is.
 func (b *Box) membersChanged(s members.Snapshot) {
 	addresses := make(map[string]string, len(s.All))
-	var dead []string
+	lost := home.Lost{Starts: make(map[string]uint64)}
 	for _, other := range s.All {
+		lost.Starts[other.Name] = other.Start
 		if other.Name != b.settings.Name {
 			// The dead are still sent probes, so that both sides of a cut
 			// find each other afterwards.
 			addresses[other.Name] = other.Address
 		}
 		if other.State == member.Dead {
-			dead = append(dead, other.Name)
+			lost.Dead = append(lost.Dead, other.Name)
 		}
 	}
 	live := make([]string, 0, len(s.Duty))
@@ -503,7 +504,7 @@
 	b.net.SetPeers(addresses)
 	b.router.SetLive(live, member.Settled(s.Duty))
 	b.keeper.SetBoxes(live)
-	b.homes.LiveChanged(dead)
+	b.homes.LiveChanged(lost)
 	b.dispatch.Rehome()
 	if b.routed != nil {
 		b.routed.relay.Rehome()
--- a/coordination/home/home.go
+++ b/coordination/home/home.go
@@ -93,7 +93,7 @@
 	commands *ring.Ring[Command]
 	tables   chan table.Table
 	live     *ring.Ring[struct{}]
-	dead     atomic.Pointer[[]string]
+	lost     atomic.Pointer[Lost]
 	paused   *ring.Ring[struct{}]
 	leaving  atomic.Bool
 	checked  time.Time
@@ -140,11 +140,20 @@
 	}
 }
 
+// Lost is what this box knows of processes that are no more.
+type Lost struct {
+	// Dead are the boxes that are dead as far as this one knows. If one of them
+	// does live, its holds show in the engines' reports.
+	Dead []string
+	// Starts are the incarnations of the others' processes; earlier ones under
+	// the same name are over.
+	Starts map[string]uint64
+}
+
 // LiveChanged tells that the set of boxes with duties has changed, and which
-// boxes are dead as far as this one knows: their grants come free. If one of
-// them does live, its holds show in the engines' reports.
-func (h *Homes) LiveChanged(dead []string) {
-	h.dead.Store(&dead)
+// processes are no more: their grants come free.
+func (h *Homes) LiveChanged(l Lost) {
+	h.lost.Store(&l)
 	// One that waits already says the same.
 	_ = h.live.Offer(struct{}{})
 }
@@ -234,9 +243,13 @@
 			h.drop(key, g, lifecycle.ReasonMoved)
 		}
 	}
-	for _, box := range *h.dead.Load() {
+	lost := h.lost.Load()
+	for _, box := range lost.Dead {
 		h.dropBox(box)
 	}
+	for box, start := range lost.Starts {
+		h.dropBefore(box, start)
+	}
 }
 
 // group finds a group or starts it: the first question makes this box its home.
@@ -422,6 +435,12 @@
 	}
 }
 
+func (h *Homes) dropBefore(box string, start uint64) {
+	for key, g := range h.groups {
+		h.answer(key, g.DropBefore(time.Now(), box, start))
+	}
+}
+
 func (h *Homes) tick() {
 	now := time.Now()
 	for key, g := range h.groups {
--- a/state/schedule/group.go
+++ b/state/schedule/group.go
@@ -350,13 +350,27 @@
 
 // DropBox forgets all that a box asked for; the box is gone.
 func (g *Group) DropBox(now time.Time, box string) []Decision {
-	g.waiting = slices.DeleteFunc(g.waiting, func(w *waiter) bool { return w.ask.Box == box })
-	var out []Decision
+	return g.drop(now, func(a Ask) bool { return a.Box == box })
+}
+
+// DropBefore forgets what a box asked for before it started anew: the process
+// that could say when it is over is no more.
+func (g *Group) DropBefore(now time.Time, box string, start uint64) []Decision {
+	return g.drop(now, func(a Ask) bool { return a.Box == box && a.ID.Request.Incarnation < start })
+}
+
+func (g *Group) drop(now time.Time, gone func(Ask) bool) []Decision {
+	g.waiting = slices.DeleteFunc(g.waiting, func(w *waiter) bool { return gone(w.ask) })
+	var over []lifecycle.AttemptID
 	for id, gr := range g.grants {
-		if gr.ask.Box == box {
-			out = append(out, g.Done(now, Report{ID: id})...)
+		if gone(gr.ask) {
+			over = append(over, id)
 		}
 	}
+	var out []Decision
+	for _, id := range over {
+		out = append(out, g.Done(now, Report{ID: id})...)
+	}
 	return out
 }
 
--- a/state/schedule/group_test.go
+++ b/state/schedule/group_test.go
@@ -371,3 +371,20 @@
 		Place(&g.view, 0, need)
 	}
 }
+
+func TestDropBefore(t *testing.T) {
+	convey.Convey("What a box asked for before it started anew is given back, and nothing else", t, func() {
+		g := New(config(2, 2), start)
+		old, young, other := ask(1, 1000), ask(2, 1000), ask(3, 1000)
+		young.ID.Request.Incarnation = 5
+		other.Box, other.ID.Request.Box = "c", "c"
+		for _, a := range []Ask{old, young, other} {
+			g.Ask(start, a)
+		}
+		convey.So(g.Granted()+g.Waiting(), convey.ShouldEqual, 3)
+		g.DropBefore(start, "b", 5)
+		convey.So(g.Granted()+g.Waiting(), convey.ShouldEqual, 2)
+		g.DropBefore(start, "b", 6)
+		convey.So(g.Granted()+g.Waiting(), convey.ShouldEqual, 1)
+	})
+}
