--- a/cmd/runridgectl/main.go
+++ b/cmd/runridgectl/main.go
@@ -32,6 +32,7 @@
 	addDrain(parser)
 	addHistory(parser)
 	addExplain(parser)
+	addOutcomes(parser)
 	os.Exit(command.Run(parser, exitCode))
 }
 
--- a/coordination/relay/record.go
+++ b/coordination/relay/record.go
@@ -30,11 +30,13 @@
 		fields["output_hint"] = v.q.Prompt.Hint
 		fields["last_event"] = v.lastEvent
 		fields["gap_ms"] = v.longestGap.Milliseconds()
+		fields["gap_target_ms"] = v.route.GapMS
 		fields["prefill"], fields["decode"] = v.plan.Prefill, v.plan.Decode
 		fields["alone"] = v.alone
 	}
 	if !v.firstAt.IsZero() {
 		fields["first_ms"] = v.firstAt.Sub(v.q.Arrived).Milliseconds()
+		fields["target_ms"] = v.route.TargetMS
 	}
 	v.r.cfg.Log.WithFields(fields).Info("request_ended")
 }
