--- a/bench/promises.go
+++ b/bench/promises.go
@@ -7,19 +7,15 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
-	"runridge.example/runridge/coordination/follow"
 	"runridge.example/runridge/fakes/fleet"
 	"runridge.example/runridge/modules/log"
 	"runridge.example/runridge/state/example"
-	"runridge.example/runridge/state/lifecycle"
 	"runridge.example/runridge/transport/operatorhttp"
 )
 
@@ -64,8 +60,12 @@
 
 	mutex     sync.Mutex
 	processes []*fleet.Process
-	// away marks boxes that are down or paused at the moment.
-	away    map[string]bool
+	// away marks boxes and engines that are down or paused at the moment.
+	away map[string]bool
+	// outages is how many outages of the platform are under way, and heard is
+	// when the last one ended.
+	outages int
+	heard   time.Time
 	seen    []sighting
 	highest map[string]uint64
 	out     Campaign
@@ -210,257 +210,6 @@
 	c.out.Outcomes[s.Outcome]++
 }
 
-// fault brings about one fault, now and then two together.
-func (c *campaign) fault(ctx context.Context) {
-	faults := []struct {
-		name string
-		do   func(context.Context)
-	}{
-		{"box_killed", c.killBox},
-		{"box_paused", c.pauseBox},
-		{"box_stopped", c.stopBox},
-		{"engine_died", c.killEngine},
-		{"transfers_stalled", func(context.Context) { c.fleet.Links.StallNext(3) }},
-		{"platform_out", c.platformOut},
-		{"table_changed", c.changeTable},
-		{"endpoint_leaving", c.drainEndpoint},
-	}
-	for range 1 + c.random.IntN(togetherOneIn)/(togetherOneIn-1) {
-		f := faults[c.random.IntN(len(faults))]
-		c.out.Faults[f.name]++
-		f.do(ctx)
-	}
-}
-
-// togetherOneIn is how many faults there are for each that comes with another.
-const togetherOneIn = 4
-
-// take picks a box that is there and marks it away. At most two are away at
-// once, so that the others are a majority.
-func (c *campaign) take() (*fleet.Process, int) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	if len(c.away) >= 2 {
-		return nil, 0
-	}
-	i := c.random.IntN(len(c.processes))
-	p := c.processes[i]
-	if c.away[p.Name] {
-		return nil, 0
-	}
-	c.away[p.Name] = true
-	return p, i
-}
-
-func (c *campaign) back(name string) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	delete(c.away, name)
-}
-
-// killBox kills a box, times how long its holds stay, and starts it again.
-func (c *campaign) killBox(ctx context.Context) {
-	p, i := c.take()
-	if p == nil {
-		return
-	}
-	s, err := statusOf(p)
-	p.Kill()
-	died := time.Now()
-	c.background.Go(func() {
-		if err == nil {
-			c.timeOrphans(p.Name, s.Incarnation, died)
-		}
-		c.restart(ctx, i, p)
-	})
-}
-
-// orphanBound is when the wait for orphaned holds is given up as a violation.
-const orphanBound = 15 * time.Second
-
-func (c *campaign) timeOrphans(box string, incarnation uint64, died time.Time) {
-	for c.heldFor(box, incarnation) && time.Since(died) < orphanBound {
-		time.Sleep(lookPause)
-	}
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	c.out.OrphansGone = append(c.out.OrphansGone, time.Since(died))
-}
-
-func (c *campaign) heldFor(box string, incarnation uint64) bool {
-	for _, e := range c.fleet.Engines {
-		for _, a := range e.HeldAttempts() {
-			id, err := lifecycle.ParseAttemptID(a)
-			if err == nil && id.Request.Box == box && id.Request.Incarnation == incarnation {
-				return true
-			}
-		}
-	}
-	return false
-}
-
-func (c *campaign) restart(ctx context.Context, i int, p *fleet.Process) {
-	next, err := c.fleet.Restart(c.cfg.Program, c.cfg.Dir, p)
-	if err == nil {
-		err = awaitReady(ctx, next)
-		c.mutex.Lock()
-		c.processes[i] = next
-		c.mutex.Unlock()
-	}
-	if err != nil {
-		c.violate("restart")
-		return
-	}
-	c.checkGeneration(next)
-	c.back(p.Name)
-}
-
-// pauseBox stops a box for longer than the others wait for it.
-func (c *campaign) pauseBox(context.Context) {
-	p, _ := c.take()
-	if p == nil {
-		return
-	}
-	pause := time.Duration(500+c.random.IntN(2500)) * time.Millisecond
-	c.background.Go(func() {
-		if p.Pause() == nil {
-			time.Sleep(pause)
-			_ = p.Resume()
-		}
-		c.back(p.Name)
-	})
-}
-
-// stopBox asks for a planned stop, which must end well.
-func (c *campaign) stopBox(ctx context.Context) {
-	p, i := c.take()
-	if p == nil {
-		return
-	}
-	c.background.Go(func() {
-		err := p.Stop()
-		c.trial("planned_stop", err == nil)
-		c.restart(ctx, i, p)
-	})
-}
-
-// killEngine kills a random engine and starts it again.
-func (c *campaign) killEngine(context.Context) {
-	names := make([]string, 0, len(c.fleet.Engines))
-	for name := range c.fleet.Engines {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	name := names[c.random.IntN(len(names))]
-	c.fleet.Engines[name].Kill()
-	c.background.Go(func() {
-		time.Sleep(engineDown)
-		if err := c.fleet.RestartEngine(name); err != nil {
-			c.violate("engine_restart")
-		}
-	})
-}
-
-const engineDown = 700 * time.Millisecond
-
-func (c *campaign) platformOut(context.Context) {
-	out := time.Duration(500+c.random.IntN(2500)) * time.Millisecond
-	c.fleet.Platform.SetDown(true)
-	c.background.Go(func() {
-		time.Sleep(out)
-		c.fleet.Platform.SetDown(false)
-	})
-}
-
-// changeTable accepts a change and times until every box has it in force.
-func (c *campaign) changeTable(context.Context) {
-	e := c.fleet.Table().Endpoints[c.random.IntN(len(c.fleet.Table().Endpoints))]
-	e.Slots = 30 + c.random.IntN(10)
-	c.mutex.Lock()
-	err := c.fleet.SetTable(c.fleet.Table().WithEndpoint(e))
-	c.mutex.Unlock()
-	if err != nil {
-		c.violate("table_change")
-		return
-	}
-	generation := c.fleet.Platform.Version(follow.ObjectName)
-	accepted := time.Now()
-	c.background.Go(func() { c.timeInForce(generation, accepted) })
-}
-
-// inForceBound is the letter's 6 s.
-const inForceBound = 6 * time.Second
-
-func (c *campaign) timeInForce(generation uint64, accepted time.Time) {
-	for time.Since(accepted) < 2*inForceBound {
-		if c.allHave(generation) {
-			c.mutex.Lock()
-			c.out.InForce = append(c.out.InForce, time.Since(accepted))
-			c.mutex.Unlock()
-			c.trial("config_in_force", time.Since(accepted) <= inForceBound)
-			return
-		}
-		time.Sleep(lookPause)
-	}
-	c.trial("config_in_force", false)
-}
-
-// allHave says whether every box that is there has a generation in force.
-func (c *campaign) allHave(generation uint64) bool {
-	c.mutex.Lock()
-	processes := slices.Clone(c.processes)
-	c.mutex.Unlock()
-	for _, p := range processes {
-		c.mutex.Lock()
-		away := c.away[p.Name]
-		c.mutex.Unlock()
-		if away {
-			continue
-		}
-		if g, ok := c.checkGeneration(p); !ok || g < generation {
-			return false
-		}
-	}
-	return true
-}
-
-// checkGeneration asks a box for its generation, which must never fall, not
-// even over a restart.
-func (c *campaign) checkGeneration(p *fleet.Process) (uint64, bool) {
-	s, err := statusOf(p)
-	if err != nil || s.Generation == 0 {
-		return 0, false
-	}
-	c.mutex.Lock()
-	old := c.highest[p.Name]
-	c.highest[p.Name] = max(old, s.Generation)
-	c.mutex.Unlock()
-	c.trial("config_never_older", s.Generation >= old)
-	return s.Generation, true
-}
-
-// leavingBound is when a leaving endpoint must get no new work any more.
-const leavingBound = 3 * time.Second
-
-// drainEndpoint marks an engine as leaving and looks at when it last took work.
-func (c *campaign) drainEndpoint(context.Context) {
-	e := c.fleet.Table().Endpoints[c.random.IntN(len(c.fleet.Engines))]
-	if e.Leaving {
-		return
-	}
-	c.mutex.Lock()
-	_ = c.fleet.SetTable(c.fleet.Table().WithLeaving(e.Name, true))
-	c.mutex.Unlock()
-	marked := time.Now()
-	c.background.Go(func() {
-		time.Sleep(leavingBound + time.Second)
-		c.trial("leaving_gets_no_work", !c.fleet.Engines[e.Name].LastAccepted().After(marked.Add(leavingBound)))
-		c.mutex.Lock()
-		defer c.mutex.Unlock()
-		_ = c.fleet.SetTable(c.fleet.Table().WithLeaving(e.Name, false))
-	})
-}
-
 // trial notes one try of a promise.
 func (c *campaign) trial(name string, kept bool) {
 	c.mutex.Lock()
@@ -482,73 +231,3 @@
 		c.out.Promises[i].Violations++
 	}
 }
-
-// judge compares what callers saw with what the engines did.
-func (c *campaign) judge() {
-	held := awaitFree(c.fleet)
-	work := c.fleet.Ledger.Requests()
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	c.out.Requests = len(c.seen)
-	c.count("no_hold_left", held > 0)
-	for _, d := range c.out.OrphansGone {
-		c.count("orphans_gone", d >= orphanBound)
-	}
-	for _, s := range c.seen {
-		if s.Outcome == OutcomeFinished || s.Outcome == OutcomeWrong {
-			c.count("whole_own_answer", s.Outcome == OutcomeWrong)
-		}
-		w, ran := work[s.Request]
-		if s.Outcome == OutcomeNotRun && s.Request != "" {
-			c.count("not_run_is_true", ran && (w.Started > 0 || w.Decoded > 0))
-		}
-		if s.once && s.Request != "" {
-			c.count("once_runs_once", w.Started > 1 || w.Decoded > 1)
-		}
-		if s.Request != "" {
-			c.count("answered_once", w.Finished > 1)
-		}
-	}
-}
-
-// Print writes the campaign's lines.
-func (c Campaign) Print(w io.Writer) {
-	p := func(format string, args ...any) { _, _ = fmt.Fprintf(w, format, args...) }
-	total := 0
-	var faults []string
-	for name, n := range c.Faults {
-		faults = append(faults, fmt.Sprintf("%s=%d", name, n))
-		total += n
-	}
-	slices.Sort(faults)
-	p("promises requests=%d faults=%d %s\n", c.Requests, total, strings.Join(faults, " "))
-	var outcomes []string
-	for name, n := range c.Outcomes {
-		outcomes = append(outcomes, fmt.Sprintf("%s=%d", name, n))
-	}
-	slices.Sort(outcomes)
-	p("promises outcomes %s\n", strings.Join(outcomes, " "))
-	p("promises recovery orphans_gone_p50=%s p99=%s config_in_force_p50=%s p99=%s\n",
-		quantile(c.OrphansGone, 0.5), quantile(c.OrphansGone, 0.99), quantile(c.InForce, 0.5), quantile(c.InForce, 0.99))
-	slices.SortFunc(c.Promises, func(a, b Promise) int { return strings.Compare(a.Name, b.Name) })
-	for _, promise := range c.Promises {
-		p("promises name=%s trials=%d violations=%d\n", promise.Name, promise.Trials, promise.Violations)
-	}
-}
-
-// Violations is the sum over all promises.
-func (c Campaign) Violations() int {
-	n := 0
-	for _, p := range c.Promises {
-		n += p.Violations
-	}
-	return n
-}
-
-func quantile(all []time.Duration, q float64) time.Duration {
-	if len(all) == 0 {
-		return 0
-	}
-	sorted := slices.Sorted(slices.Values(all))
-	return sorted[min(int(q*float64(len(sorted))), len(sorted)-1)].Round(time.Millisecond)
-}
