Long prompts take their turn under overload; ejected engines are logged

Cause (a group offered half as much again as it can serve, ten lengths of prompt): of the longest a fifth began where half of all did. They were refused early by the time until an engine has room for all of them at once, and in the queue smaller ones took each bit of memory that came free.

Homes write a line for each engine that they take out.

--- a/coordination/home/home.go
+++ b/coordination/home/home.go
@@ -362,6 +362,7 @@
 		h.answer(c.Group, g.Prefilled(now, body.ID, body.Computed, body.Worked))
 	case schedule.Report:
 		h.answer(c.Group, g.Done(now, body))
+		h.logEjections(c.Group, g)
 	case Withdrawn:
 		h.answer(c.Group, g.Withdraw(now, body.ID))
 	case schedule.Load:
@@ -411,6 +412,20 @@
 	}
 }
 
+// logEjections writes which engines a group has taken out.
+func (h *Homes) logEjections(group string, g *schedule.Group) {
+	for _, e := range g.Ejections() {
+		h.cfg.Log.WithFields(log.Fields{
+			log.FieldEngine: e.Engine,
+			"group":         group,
+			"for_ms":        e.For.Milliseconds(),
+			"unreached":     e.Unreached,
+			"others_out":    e.OthersOut,
+			"others":        e.Others,
+		}).Info("engine_ejected")
+	}
+}
+
 // logRefusal writes what a refusal was decided by.
 func (h *Homes) logRefusal(group string, r schedule.Refuse) {
 	h.cfg.Log.WithFields(log.Fields{
--- a/state/health/health.go
+++ b/state/health/health.go
@@ -46,6 +46,11 @@
 	return now.Before(b.outUntil) || b.trying
 }
 
+// OutFor is how long the endpoint gets no work yet; 0 is none.
+func (b Breaker) OutFor(now time.Time) time.Duration {
+	return max(b.outUntil.Sub(now), 0)
+}
+
 // Trial says whether the next request is the one that tests the endpoint.
 func (b Breaker) Trial(now time.Time) bool {
 	return b.ejections > 0 && !b.trying && !now.Before(b.outUntil)
--- a/state/schedule/group.go
+++ b/state/schedule/group.go
@@ -84,6 +84,12 @@
 	view    View
 	waiting []*waiter
 	grants  map[lifecycle.AttemptID]*grant
+	// usual is the mean memory of an ask, and kept the engine that gets nothing
+	// but the waiter that it has room for soonest.
+	usual usualLoad
+	kept  int
+	// ejections are the engines taken out that nobody was told of yet.
+	ejections []Ejection
 	// lost are grants that are over here and may run on at their engine.
 	lost     []*grant
 	accounts accounts
@@ -132,6 +138,7 @@
 		marks:    prefix.New(cfg.PrefixMarks),
 		random:   rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
 		budget:   health.NewBudget(),
+		kept:     none,
 	}
 	g.adopt(cfg.Engines)
 	return g
@@ -299,6 +306,7 @@
 	if !a.Resume && !a.Spill {
 		g.asks = g.asks.plus(t, 1, asksHalfLife)
 	}
+	g.usual = g.usual.with(load{held: a.PromptTokens, rest: restOf(a.OutputTokens, 0)})
 	w := g.waiter(a, t)
 	if refusal, refused := g.refuseEarly(w, t); refused {
 		return []Decision{refusal}
--- a/state/schedule/learn.go
+++ b/state/schedule/learn.go
@@ -160,10 +160,21 @@
 	if unreached {
 		rules.Failures = 1
 	}
+	was := e.breaker.OutFor(now)
 	e.breaker = e.breaker.WithFailure(now, rules, out, total+1, g.random)
+	if is := e.breaker.OutFor(now); is > was {
+		g.ejections = append(g.ejections, Ejection{Engine: name, For: is, Unreached: unreached, OthersOut: out, Others: total})
+	}
 	g.marks.Forget(name)
 }
 
+// Ejections returns the engines taken out since it was last asked.
+func (g *Group) Ejections() []Ejection {
+	out := g.ejections
+	g.ejections = nil
+	return out
+}
+
 // Report takes in an engine's load report. Reports lag, so one that shows more
 // holds than were granted proves nothing; several in a row do, and then the
 // engine's cap shrinks by what it holds for somebody else.
--- a/state/schedule/memory.go
+++ b/state/schedule/memory.go
@@ -34,6 +34,27 @@
 	return max(expected-made, int(float64(guess)*overrunShare), leastRest)
 }
 
+// usualLoad is the mean memory of what is asked for lately, in tokens.
+type usualLoad struct{ held, rest float64 }
+
+// usualShare is the weight of one ask in the mean.
+const usualShare = 1.0 / 32
+
+// with returns the mean after one more ask.
+func (u usualLoad) with(l load) usualLoad {
+	if u == (usualLoad{}) {
+		return usualLoad{held: float64(l.held), rest: float64(l.rest)}
+	}
+	u.held += (float64(l.held) - u.held) * usualShare
+	u.rest += (float64(l.rest) - u.rest) * usualShare
+	return u
+}
+
+// atMost is a load, or the usual one if that is smaller.
+func (u usualLoad) atMost(l load) load {
+	return load{held: min(l.held, int(u.held)), rest: min(l.rest, int(u.rest))}
+}
+
 // byEnd puts loads in the order in which they end.
 func byEnd(loads []load) {
 	slices.SortFunc(loads, func(a, b load) int { return cmp.Compare(a.rest, b.rest) })
@@ -168,9 +189,11 @@
 	}
 }
 
-// memoryWaitNS is how long an ask waits until the first engine has room.
+// memoryWaitNS is how long an ask waits until the first engine has room. One
+// that is larger than usual waits its turn like the others, for which startOne
+// keeps an engine free; by its own size it would hardly ever begin.
 func (g *Group) memoryWaitNS(t int64, a Ask) int64 {
-	further := load{held: a.PromptTokens, rest: restOf(a.OutputTokens, 0)}
+	further := g.usual.atMost(load{held: a.PromptTokens, rest: restOf(a.OutputTokens, 0)})
 	earliest := int64(-1)
 	for i, loads := range g.loadsOn(t) {
 		v := &g.view.Engines[i]
--- a/state/schedule/memory_test.go
+++ b/state/schedule/memory_test.go
@@ -4,7 +4,9 @@
 package schedule
 
 import (
+	"math/rand/v2"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -181,6 +183,12 @@
 		convey.So(g.engines[1].breaker.Out(start), convey.ShouldBeFalse)
 		g.fail(start, "b", true)
 		convey.So(g.engines[2].breaker.Out(start), convey.ShouldBeTrue)
+		told := g.Ejections()
+		convey.So(told, convey.ShouldHaveLength, 1)
+		convey.So(told[0].Engine, convey.ShouldEqual, "b")
+		convey.So(told[0].Unreached, convey.ShouldBeTrue)
+		convey.So(told[0].For, convey.ShouldBeGreaterThan, 0)
+		convey.So(g.Ejections(), convey.ShouldBeEmpty)
 	})
 }
 
@@ -273,3 +281,76 @@
 		}
 	})
 }
+
+// sizes is the number of classes of prompt length in an overload, and sizeStep
+// what each is longer than the one before, in tokens.
+const (
+	sizes    = 10
+	sizeStep = 1000
+)
+
+// overload offers a group half as much again as it can serve, of prompts of
+// very different lengths, and counts what came and what began by length.
+type overload struct {
+	group       *Group
+	random      *rand.Rand
+	now         time.Time
+	size        map[lifecycle.AttemptID]int
+	until       map[lifecycle.AttemptID]time.Time
+	came, began [sizes]int
+}
+
+func (o *overload) take(decisions []Decision) {
+	for _, d := range decisions {
+		if grant, ok := d.(Grant); ok {
+			o.began[o.size[grant.Ask.ID]]++
+			o.until[grant.Ask.ID] = o.now.Add(time.Second)
+			o.take(o.group.Prefilled(o.now, grant.Ask.ID, 0, 0))
+		}
+	}
+}
+
+func (o *overload) run(requests uint64, pause time.Duration) {
+	for n := range requests {
+		o.now = o.now.Add(time.Duration(o.random.Int64N(int64(2 * pause))))
+		for id, until := range o.until {
+			if o.now.After(until) {
+				delete(o.until, id)
+				o.take(o.group.Done(o.now, Report{ID: id, Finished: true}))
+			}
+		}
+		size := o.random.IntN(sizes)
+		a := askOf(n, (size+1)*sizeStep, 3000)
+		o.size[a.ID] = size
+		o.came[size]++
+		o.take(o.group.Ask(o.now, a))
+		o.take(o.group.Tick(o.now))
+	}
+}
+
+func TestNoLengthStarves(t *testing.T) {
+	for seed := range uint64(4) {
+		convey.Convey("Under overload the longest prompts begin at least half as often as all, and so do those just below, seed "+strconv.FormatUint(seed, 10), t, func() {
+			o := &overload{
+				group:  growing(2, 60_000),
+				random: rand.New(rand.NewPCG(seed, 1)),
+				now:    start,
+				size:   make(map[lifecycle.AttemptID]int),
+				until:  make(map[lifecycle.AttemptID]time.Time),
+			}
+			o.run(3000, 40*time.Millisecond)
+			came, began := 0, 0
+			for i := range sizes {
+				came += o.came[i]
+				began += o.began[i]
+			}
+			all := float64(began) / float64(came)
+			t.Log(o.came, o.began)
+			convey.So(all, convey.ShouldBeBetween, 0.3, 0.95)
+			longest := float64(o.began[sizes-1]) / float64(o.came[sizes-1])
+			below := float64(o.began[sizes-2]+o.began[sizes-3]) / float64(o.came[sizes-2]+o.came[sizes-3])
+			convey.So(longest, convey.ShouldBeGreaterThan, all/2)
+			convey.So(below, convey.ShouldBeGreaterThan, all/2)
+		})
+	}
+}
--- a/state/schedule/types.go
+++ b/state/schedule/types.go
@@ -240,6 +240,16 @@
 	MoveTime time.Duration
 }
 
+// Ejection tells that a sick engine gets no work for a while.
+type Ejection struct {
+	Engine string
+	For    time.Duration
+	// Unreached says that no connection to it could be made.
+	Unreached bool
+	// OthersOut is how many of the Others of its role were out already.
+	OthersOut, Others int
+}
+
 // Load is an engine's own, late word on what it holds.
 type Load struct {
 	Engine string
