--- a/coordination/discover/share_test.go
+++ b/coordination/discover/share_test.go
@@ -128,8 +128,13 @@
 			}
 		}
 		time.Sleep(coverTime + time.Millisecond)
-		if c := s.next(); c.after != 11 {
-			t.Errorf("after the news ended the box goes on after %d", c.after)
+		select {
+		case c := <-s.calls:
+			if c.after != 11 {
+				t.Errorf("after the news ended the box goes on after %d", c.after)
+			}
+		case <-time.After(10 * coverTime):
+			t.Error("after the news ended the box does not follow the list")
 		}
 	})
 }
--- a/state/directory/directory.go
+++ b/state/directory/directory.go
@@ -134,7 +134,7 @@
 		if c.Gone {
 			w.Entry = old.Entry
 		}
-		if c.Gone && now.Before(d.doubt) && !old.Draining && !old.Gone {
+		if c.Gone && now.Before(d.doubt) && !old.Gone {
 			w.Gone, w.Doubted = false, true
 		}
 		if known && w.Entry == old.Entry && w.Gone == old.Gone && w.Doubted == old.Doubted {
--- a/state/directory/doubt.go
+++ b/state/directory/doubt.go
@@ -11,7 +11,7 @@
 // WithDoubt returns the directory of a box to which the platform has just come
 // back: entries that are missing until then may only have lapsed while it was
 // away, and their endpoints go on being used. Those that had said that they
-// leave are gone all the same.
+// leave get nothing all the same.
 func (d Directory) WithDoubt(until time.Time) Directory {
 	d.doubt = until
 	return d
--- a/state/member/member_test.go
+++ b/state/member/member_test.go
@@ -227,9 +227,12 @@
 			w.views[name].Refused(w.now, "b07")
 		}
 		w.run(time.Second)
+		w.start("b09")
+		// Long enough for the news of it to be old.
+		w.run(3 * time.Minute)
 		w.start("b07")
 		w.run(time.Second)
 		convey.So(w.settledBy("b07"), convey.ShouldEqual, w.settledBy("b00"))
-		convey.So(strings.Fields(w.settledBy("b07")), convey.ShouldHaveLength, 39)
+		convey.So(strings.Fields(w.settledBy("b07")), convey.ShouldHaveLength, 38)
 	})
 }
--- a/state/schedule/group.go
+++ b/state/schedule/group.go
@@ -84,10 +84,8 @@
 	view    View
 	waiting []*waiter
 	grants  map[lifecycle.AttemptID]*grant
-	// usual is the mean memory of an ask, and kept the engine that gets nothing
-	// but the waiter that it has room for soonest.
+	// usual is the mean memory of an ask.
 	usual usualLoad
-	kept  int
 	// ejections are the engines taken out that nobody was told of yet.
 	ejections []Ejection
 	// lost are grants that are over here and may run on at their engine.
@@ -138,7 +136,6 @@
 		marks:    prefix.New(cfg.PrefixMarks),
 		random:   rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
 		budget:   health.NewBudget(),
-		kept:     none,
 	}
 	g.adopt(cfg.Engines)
 	return g
--- a/state/schedule/memory.go
+++ b/state/schedule/memory.go
@@ -190,8 +190,8 @@
 }
 
 // memoryWaitNS is how long an ask waits until the first engine has room. One
-// that is larger than usual waits its turn like the others, for which startOne
-// keeps an engine free; by its own size it would hardly ever begin.
+// that is larger than usual is reckoned as one of usual size: by its own size it
+// would be refused far more often than the others.
 func (g *Group) memoryWaitNS(t int64, a Ask) int64 {
 	further := g.usual.atMost(load{held: a.PromptTokens, rest: restOf(a.OutputTokens, 0)})
 	earliest := int64(-1)
--- a/state/schedule/memory_test.go
+++ b/state/schedule/memory_test.go
@@ -267,17 +267,19 @@
 func TestNoPrefillWithoutSlot(t *testing.T) {
 	convey.Convey("Where a prefill result lapses soon, none is made before a decode slot is there for it", t, func() {
 		g := growing(1, 1_000_000)
-		g.engines[1].spec.Slots = 3
+		g.engines[1].spec.Slots = 4
 		g.refresh(1)
 		now := start
-		for n := range uint64(5) {
-			g.Done(now, Report{ID: askOf(100+n, 0, 0).ID})
-			for _, d := range g.Ask(now, askOf(n, 100, 100)) {
-				if grant, ok := d.(Grant); ok {
-					convey.So(grant.Plan.Decode, convey.ShouldEqual, "a")
-				}
-			}
-			now = now.Add(10 * time.Millisecond)
+		// The slots are taken, and come free and are taken again quickly.
+		for n := range uint64(40) {
+			g.Done(now, Report{ID: askOf(n-4, 0, 0).ID, Finished: true})
+			g.Ask(now, askOf(n, 100, 100))
+			g.Prefilled(now, askOf(n, 0, 0).ID, 0, 0)
+			now = now.Add(5 * time.Millisecond)
+		}
+		convey.So(g.Granted(), convey.ShouldEqual, 4)
+		for n := range uint64(4) {
+			convey.So(grantsIn(g.Ask(now, askOf(100+n, 100, 100))), convey.ShouldEqual, 0)
 		}
 	})
 }
--- a/state/schedule/queue.go
+++ b/state/schedule/queue.go
@@ -75,8 +75,6 @@
 // startOne grants the first waiter in order that can start now.
 func (g *Group) startOne(t int64) (Decision, bool) {
 	last := float64(-1 << 62)
-	g.kept = none
-	defer func() { g.kept = none }()
 	for range tries {
 		i, k := g.next(t, last)
 		if i == none {
@@ -86,7 +84,6 @@
 		w := g.waiting[i]
 		c, ok := g.place(t, w)
 		if !ok {
-			g.keepRoom(w)
 			continue
 		}
 		late := t+c.FirstTokenNS > w.deadline
@@ -100,20 +97,6 @@
 	return nil, false
 }
 
-// keepRoom keeps the engine with the most room for the first waiter that found
-// none: smaller ones after it would take each bit of memory that comes free.
-func (g *Group) keepRoom(w *waiter) {
-	if !g.cfg.Growing || g.kept != none || w.ask.Kept != "" {
-		return
-	}
-	for i := range g.view.Engines {
-		v := &g.view.Engines[i]
-		if v.Decode && v.Held < v.Cap && (g.kept == none || v.KVFree > g.view.Engines[g.kept].KVFree) {
-			g.kept = i
-		}
-	}
-}
-
 // place asks the pure decision for a choice, under this ask's own conditions.
 func (g *Group) place(t int64, w *waiter) (Choice, bool) {
 	a := w.ask
@@ -178,7 +161,7 @@
 	now := g.start.Add(time.Duration(t))
 	for i := range g.engines {
 		e, v := &g.engines[i], &g.view.Engines[i]
-		out := e.spec.Leaving || e.breaker.Out(now) || t < e.fullUntil || i == g.kept || slices.Contains(avoid, e.spec.Name)
+		out := e.spec.Leaving || e.breaker.Out(now) || t < e.fullUntil || slices.Contains(avoid, e.spec.Name)
 		v.Prefill = e.spec.Prefill && !out
 		v.Decode = e.spec.Decode && !out
 		if v.Queued > 0 && v.FreeAt < t {
--- a/tests/mutants/main.go
+++ b/tests/mutants/main.go
@@ -41,7 +41,7 @@
 
 func run(root string) error {
 	survivors := 0
-	mutants := append(slices.Clone(mutants), routedMutants...)
+	mutants := slices.Concat(mutants, routedMutants, sharedMutants)
 	for _, m := range mutants {
 		found, err := try(root, m)
 		if err != nil {
--- /dev/null
+++ b/tests/mutants/shared.go
@@ -0,0 +1,100 @@
+// Copyright 2026 The Runridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package main
+
+const (
+	settledFile  = "state/member/settled.go"
+	protocolFile = "state/member/protocol.go"
+	refuseFile   = "state/schedule/refuse.go"
+	queueFile    = "state/schedule/queue.go"
+	groupFile    = "state/schedule/group.go"
+	newsFile     = "state/directory/news.go"
+	shareFile    = "coordination/discover/share.go"
+	outageFile   = "coordination/discover/outage.go"
+	registryFile = "coordination/registry/registry.go"
+	homeFile     = "coordination/home/home.go"
+
+	memberTests   = "./state/member"
+	scheduleTests = "./state/schedule"
+	discoverTests = "./coordination/discover"
+	registryTests = "./coordination/registry"
+)
+
+// sharedMutants are deliberate faults in what boxes believe together: who has
+// duties, what endpoints there are, who is no more, and who comes back when.
+var sharedMutants = []mutant{
+	{
+		name: "unheard_start_counts_as_oldest", file: settledFile, pkg: memberTests, args: only("TestSettled"),
+		old: "if b.Start > 0 {", fault: "if true {",
+	},
+	{
+		name: "start_without_sync", file: protocolFile, pkg: memberTests, args: only("TestSettledIsTheSameEverywhere"),
+		old: "out := v.requestSync(now)", fault: "out := []Send(nil)",
+	},
+	{
+		name: "time_to_come_back_without_patience", file: refuseFile, pkg: scheduleTests, args: only("TestComeBackWithinPatience"),
+		old: "if patience <= 0 || next-t <= int64(patience) {", fault: "if true {",
+	},
+	{
+		name: "spill_books_a_return", file: refuseFile, pkg: scheduleTests, args: only("TestSpill"),
+		old: "if reason == lifecycle.ReasonHopeless && !w.ask.Spill {", fault: "if reason == lifecycle.ReasonHopeless {",
+	},
+	{
+		name: "prefill_without_slot", file: queueFile, pkg: scheduleTests, args: only("TestNoPrefillWithoutSlot"),
+		old: "v.Late = !g.cfg.Growing && ", fault: "v.Late = ",
+	},
+	{
+		name: "refused_by_own_length", file: memoryFile, pkg: scheduleTests, args: only("TestNoLengthStarves"),
+		old:   "further := g.usual.atMost(load{held: a.PromptTokens, rest: restOf(a.OutputTokens, 0)})",
+		fault: "further := load{held: a.PromptTokens, rest: restOf(a.OutputTokens, 0)}",
+	},
+	{
+		name: "grants_of_earlier_process_kept", file: groupFile, pkg: scheduleTests, args: only("TestDropBefore"),
+		old: "a.ID.Request.Incarnation < start", fault: "a.ID.Request.Incarnation < 0",
+	},
+	{
+		name: "starts_not_looked_at", file: homeFile, pkg: "./coordination/home", args: only("TestProcessesThatAreNoMore"),
+		old: "		h.dropBefore(box, start)\n", fault: "		_, _ = box, start\n",
+	},
+	{
+		name: "news_with_a_gap", file: newsFile, pkg: "./state/directory", args: only("TestOracleNews"),
+		old: "return n.Whole || n.After <= d.at", fault: "return true",
+	},
+	{
+		name: "lapsed_entries_are_gone", file: directories, pkg: "./state/directory", args: only("TestDoubt"),
+		old: "c.Gone && now.Before(d.doubt) && !old.Gone", fault: "false && !old.Gone",
+	},
+	{
+		name: "doubt_without_end", file: "state/directory/doubt.go", pkg: "./state/directory", args: only("TestDoubt"),
+		old: "if now.Before(d.doubt) {", fault: "if true {",
+	},
+	{
+		name: "doubt_without_outage", file: outageFile, pkg: discoverTests, args: only("TestEntriesMayLapseInAnOutage"),
+		old: "over := d.outage.failed && away >= leastOutage", fault: "over := away >= leastOutage",
+	},
+	{
+		name: "lost_platform_covers", file: shareFile, pkg: discoverTests, args: only("TestNewsThatCoversNobody"),
+		old: "if fits && n.At >= d.known.At() && !n.Lost {", fault: "if fits && n.At >= d.known.At() {",
+	},
+	{
+		name: "every_box_tells", file: shareFile, pkg: discoverTests, args: only("TestNewsReachesEveryBoxOnce"),
+		old: "	if !d.watcher() {\n", fault: "	if d.cfg.Peers == nil {\n",
+	},
+	{
+		name: "missed_news_not_asked_for", file: shareFile, pkg: discoverTests, args: only("TestMissedNewsIsAskedFor"),
+		old: "		d.cfg.Peers.SendNewsPull(from)\n", fault: "		_ = from\n",
+	},
+	{
+		name: "silence_covers", file: shareFile, pkg: discoverTests, args: only("TestNewsKeepsABoxFromFollowing"),
+		old: "left = coverTime - now.Sub(d.shared.covered)", fault: "left = coverTime",
+	},
+	{
+		name: "dead_box_whatever_it_wrote", file: registryFile, pkg: registryTests, args: only("TestDeadBoxesAreTakenOff"),
+		old: "k.cfg.Platform.Remove(call, b.Name, b.Version)", fault: "k.cfg.Platform.Remove(call, b.Name, 0)",
+	},
+	{
+		name: "every_box_takes_dead_ones_off", file: registryFile, pkg: registryTests, args: only("TestDeadBoxesAreTakenOff"),
+		old: "len(order) == 0 || order[0] != k.cfg.Self.Name", fault: "len(order) == 0",
+	},
+}
