Answers of endpoints are fuzzed; what refuses stands in a file of its own

FuzzAnswers compares what is taken from an endpoint's bytes with another reader's finding, and shows that a connection with bytes left on it is not used again.

--- /dev/null
+++ b/coordination/relay/refuse.go
@@ -0,0 +1,83 @@
+// Copyright 2026 The Runridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package relay
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"runridge.example/runridge/coordination/home"
+)
+
+// refusal is a group's word that it has no room in time.
+type refusal struct {
+	group      string
+	retryAfter time.Duration
+}
+
+// maxSpills is how many other groups are asked when one has no room.
+const maxSpills = 2
+
+// spills notes a refusal and says whether another group is asked.
+func (v *run) spills(res result) bool {
+	if !res.noRoom {
+		return false
+	}
+	v.refusals = append(v.refusals, refusal{group: v.group, retryAfter: res.retryAfter})
+	return len(v.refusals) <= maxSpills && v.chooseGroup() != ""
+}
+
+// chooseGroup is the group that is asked next: none of those that have no room.
+func (v *run) chooseGroup() string {
+	full := make([]string, 0, len(v.refusals))
+	for _, f := range v.refusals {
+		full = append(full, f.group)
+	}
+	groups := v.r.cfg.Homes.GroupsOf(v.service.Name)
+	return home.ChooseGroup(groups, v.r.cfg.Zone, v.id.Sequence, v.attempt, full)
+}
+
+// conclude gives the caller the final word after the last attempt.
+func (v *run) conclude(ctx context.Context, res result) {
+	switch {
+	case v.begun:
+		v.ended("broken", res.reason)
+		v.c.Break()
+	case errors.Is(context.Cause(ctx), context.Canceled):
+		v.ended("caller_gone", res.reason)
+		v.c.Break()
+	case v.fallback != nil:
+		v.pass(v.fallback)
+	case v.runs > 0 && ctx.Err() != nil:
+		v.refuse(http.StatusGatewayTimeout, "timeout", 0)
+	case v.runs > 0:
+		v.refuse(http.StatusBadGateway, res.reason, 0)
+	case len(v.refusals) > 0:
+		// The request's own group has booked the time to come back.
+		v.refuse(http.StatusServiceUnavailable, res.reason, v.comeBack(v.refusals[0].retryAfter))
+	default:
+		v.refuse(http.StatusServiceUnavailable, res.reason, v.comeBack(res.retryAfter))
+	}
+}
+
+// patienceShare is the part of the time left that a refused caller may be told
+// to wait; callers give up on more.
+const patienceShare = 0.32
+
+// comeBack is when the caller is told to come again.
+func (v *run) comeBack(after time.Duration) time.Duration {
+	return max(min(after, v.patience()), leastRetry)
+}
+
+// patience is the longest wait that a refused caller accepts.
+func (v *run) patience() time.Duration {
+	return time.Duration(patienceShare * float64(v.deadline.Sub(v.r.cfg.Now())))
+}
+
+func (v *run) refuse(status int, reason string, after time.Duration) {
+	v.ended("refused", reason)
+	v.c.Refuse(Refusal{Status: status, Reason: reason, RetryAfter: after})
+}
--- a/tests/mutants/routed.go
+++ b/tests/mutants/routed.go
@@ -5,6 +5,7 @@
 
 const (
 	runFile     = "coordination/relay/run.go"
+	refusalFile = "coordination/relay/refuse.go"
 	sendFile    = "coordination/relay/exchange.go"
 	answerFile  = "coordination/relay/answer.go"
 	exchange    = "transport/upstream/exchange.go"
@@ -34,7 +35,7 @@
 		old: "if !v.route.Idempotent() || v.runs >= v.route.MaxAttempts {", fault: "if !v.route.Idempotent() {",
 	},
 	{
-		name: "ran_and_promised_not_to", file: runFile, pkg: routedTests, args: only("TestManners"),
+		name: "ran_and_promised_not_to", file: refusalFile, pkg: routedTests, args: only("TestManners"),
 		old: "	case v.runs > 0:\n", fault: "	case v.runs > 5:\n",
 	},
 	{
@@ -54,7 +55,7 @@
 		old: "if index.Generation() == 0 {", fault: "if false {",
 	},
 	{
-		name: "cut_stream_looks_whole", file: runFile, pkg: routedTests, args: only("TestBrokenStreams"),
+		name: "cut_stream_looks_whole", file: refusalFile, pkg: routedTests, args: only("TestBrokenStreams"),
 		old: "		v.c.Break()\n	case errors.Is(context.Cause(ctx), context.Canceled):", fault: "		_ = v.c.End()\n	case errors.Is(context.Cause(ctx), context.Canceled):",
 	},
 	{
--- a/transport/upstream/exchange.go
+++ b/transport/upstream/exchange.go
@@ -135,6 +135,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if resp.StatusCode < http.StatusContinue || resp.StatusCode == http.StatusSwitchingProtocols {
+			return nil, errStatus
+		}
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
@@ -155,6 +158,7 @@
 }
 
 var (
+	errStatus = errors.New("an answer with a status that is none")
 	errNoID   = errors.New("an answer without a request's id")
 	errStrays = errors.New("too many answers to other requests")
 )
--- /dev/null
+++ b/transport/upstream/fuzz_test.go
@@ -0,0 +1,110 @@
+// Copyright 2026 The Runridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package upstream
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"testing"
+	"time"
+
+	"runridge.example/runridge/coordination/relay"
+	"runridge.example/runridge/protocol/relayapi"
+)
+
+// script is a connection whose peer sends the given bytes and then nothing, or
+// closes.
+type script struct {
+	net.Conn
+	rest   *bytes.Reader
+	closes bool
+}
+
+func (s *script) Read(p []byte) (int, error) {
+	n, err := s.rest.Read(p)
+	if err == io.EOF && !s.closes {
+		return n, os.ErrDeadlineExceeded
+	}
+	return n, err
+}
+
+func (s *script) Write(p []byte) (int, error)     { return len(p), nil }
+func (s *script) Close() error                    { return nil }
+func (s *script) SetDeadline(time.Time) error     { return nil }
+func (s *script) SetReadDeadline(time.Time) error { return nil }
+
+// expected reads the same bytes with another reader: the answer to the request
+// and what is left after it. It reports false if there is none whole.
+func expected(data []byte, id string) (status int, body, rest []byte, ok bool) {
+	names := relayapi.Default()
+	reader := bufio.NewReader(bytes.NewReader(data))
+	for {
+		resp, err := http.ReadResponse(reader, &http.Request{Method: http.MethodPost})
+		if err != nil {
+			return 0, nil, nil, false
+		}
+		body, err = io.ReadAll(resp.Body)
+		if err != nil {
+			return 0, nil, nil, false
+		}
+		if resp.StatusCode >= http.StatusOK && resp.Header.Get(names.RequestID) == id {
+			rest, _ = io.ReadAll(reader)
+			return resp.StatusCode, body, rest, true
+		}
+	}
+}
+
+// FuzzAnswers shows that no bytes of an endpoint give an answer that another
+// reader would not find in them, and that a connection with bytes left over is
+// never used again.
+func FuzzAnswers(f *testing.F) {
+	const id = "r1"
+	for _, seed := range []string{
+		text(id, "hello"),
+		text(id, "hello") + text(id, "again"),
+		text("r0", "late") + text(id, "hello"),
+		"HTTP/1.1 100 Continue\r\n\r\n" + text(id, "hello"),
+		"HTTP/1.1 200 OK\r\nRunridge-Request-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nRunridge-Request-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nab",
+		"HTTP/1.1 200 OK\r\nRunridge-Request-Id: r1\r\n\r\nuntil the end",
+		"HTTP/1.1 200 OK\r\nRunridge-Request-Id: r1\r\nContent-Length: 9\r\n\r\nshort",
+		"HTTP/1.0 200 OK\r\nRunridge-Request-Id: r1\r\nContent-Length: 2\r\n\r\nok",
+		"HTTP/1.1 204 No Content\r\nRunridge-Request-Id: r1\r\n\r\nsurplus",
+		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+		"no answer at all",
+	} {
+		f.Add([]byte(seed), true)
+		f.Add([]byte(seed), false)
+	}
+	f.Fuzz(func(t *testing.T, data []byte, closes bool) {
+		client := New(Config{Names: relayapi.Default()})
+		key := poolKey{address: "a", id: "e"}
+		client.pools[key] = &pool{open: 1}
+		k := newConn(client, key, &script{rest: bytes.NewReader(data), closes: closes})
+		x := &exchange{client: client, conn: k, call: relay.Call{Method: http.MethodPost, Target: "/", RequestID: id}, names: client.cfg.Names}
+		a, err := x.run(context.Background())
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(a.Body)
+		if err != nil {
+			return
+		}
+		status, want, rest, ok := expected(data, id)
+		if !ok {
+			t.Fatalf("status %d with %q is taken for whole", a.Status, body)
+		}
+		if status != a.Status || !bytes.Equal(body, want) {
+			t.Fatalf("status %d with %q, another reader finds %d with %q", a.Status, body, status, want)
+		}
+		if k.watched != nil && k.wake() && len(rest) > 0 {
+			t.Fatalf("the connection is used again with %q left on it", rest)
+		}
+	})
+}
