One reader of several logs for explain and outcomes

Cause: the loop that reads all log files stood in both subcommands. Change: readLogs, which both call; behaviour as before.

--- a/cmd/runridgectl/explain.go
+++ b/cmd/runridgectl/explain.go
@@ -28,13 +28,9 @@
 
 // Execute runs the subcommand.
 func (c *explainCommand) Execute([]string) error {
-	var lines []timeline.Line
-	for _, path := range c.Args.Logs {
-		more, err := readLog(path)
-		if err != nil {
-			return err
-		}
-		lines = append(lines, more...)
+	lines, err := readLogs(c.Args.Logs)
+	if err != nil {
+		return err
 	}
 	story := timeline.Of(c.Request, lines)
 	if len(story) == 0 {
@@ -46,6 +42,19 @@
 	return nil
 }
 
+// readLogs reads the lines of several logs.
+func readLogs(paths []string) ([]timeline.Line, error) {
+	var lines []timeline.Line
+	for _, path := range paths {
+		more, err := readLog(path)
+		if err != nil {
+			return nil, err
+		}
+		lines = append(lines, more...)
+	}
+	return lines, nil
+}
+
 func readLog(path string) ([]timeline.Line, error) {
 	file, err := os.Open(path)
 	if err != nil {
--- a/cmd/runridgectl/outcomes.go
+++ b/cmd/runridgectl/outcomes.go
@@ -25,13 +25,9 @@
 
 // Execute runs the subcommand.
 func (c *outcomesCommand) Execute([]string) error {
-	var lines []timeline.Line
-	for _, path := range c.Args.Logs {
-		more, err := readLog(path)
-		if err != nil {
-			return err
-		}
-		lines = append(lines, more...)
+	lines, err := readLogs(c.Args.Logs)
+	if err != nil {
+		return err
 	}
 	for _, o := range timeline.Outcomes(lines) {
 		fmt.Printf("outcomes service=%s cause=%s count=%d\n", o.Service, o.Cause, o.Count)
