Prefills beside a batch are charged for the decode time that they take

Change: the delay of the batch counts as far as the engine's memory is in use, and a request may wait for a busy prefill engine. A flat ban was tried first.

--- a/state/schedule/group.go
+++ b/state/schedule/group.go
@@ -214,8 +214,9 @@
 		g.engines[i] = engine{spec: s}
 		g.index[s.Name] = i
 		g.view.Engines[i] = EngineView{
-			Zone:   slices.Index(g.zones, s.Zone),
-			KVFree: s.KVTokens,
+			Zone:     slices.Index(g.zones, s.Zone),
+			KVFree:   s.KVTokens,
+			KVTokens: s.KVTokens,
 		}
 		g.refresh(i)
 	}
--- a/state/schedule/place.go
+++ b/state/schedule/place.go
@@ -4,6 +4,7 @@
 package schedule
 
 import (
+	"math"
 	"time"
 
 	"runridge.example/runridge/state/lifecycle"
@@ -26,8 +27,8 @@
 	// Held is the number of decodes granted, Cap the most that keep the
 	// per-token target.
 	Held, Cap int
-	// KVFree is the memory not yet promised, in tokens.
-	KVFree int
+	// KVFree is the memory not yet promised and KVTokens all of it, in tokens.
+	KVFree, KVTokens int
 	// StepBaseNS and StepPerNS give a decode step's time.
 	StepBaseNS, StepPerNS float64
 	// Cached is how many tokens of this prompt the engine probably has.
@@ -70,6 +71,8 @@
 	PromptTokens int
 	// KVTokens is the most memory that the request will hold.
 	KVTokens int
+	// LeftNS is the time in which the first token is still in time.
+	LeftNS float64
 }
 
 // Choice is where a request goes: indexes into the view's engines.
@@ -123,10 +126,17 @@
 // number of engines and not with its square. It changes nothing.
 func Place(v *View, now int64, need Need) (Choice, bool) {
 	prefills, decodes, local := newBest(), newBest(), newBest()
+	earliest := math.Inf(1)
 	for i := range v.Engines {
 		e := &v.Engines[i]
-		if e.Prefill && e.FreeAt-now <= v.LeadNS {
-			prefills.offer(e.Zone, i, float64(max(e.FreeAt, now))+e.prefillNS(need))
+		if e.Prefill {
+			done := float64(max(e.FreeAt, now)) + e.prefillNS(need)
+			if e.FreeAt-now <= v.LeadNS {
+				prefills.offer(e.Zone, i, done)
+			}
+			if !e.Decode {
+				earliest = min(earliest, done)
+			}
 		}
 		if !e.Decode {
 			continue
@@ -135,16 +145,49 @@
 			decodes.offer(e.Zone, i, e.fill())
 		}
 		if v.Recompute && v.recomputeFits(e, now, need) {
-			local.offer(e.Zone, i, e.prefillNS(need))
+			local.offer(e.Zone, i, e.prefillNS(need)+e.displacedNS(need))
 		}
 	}
 	choice, found := v.move(now, need, &prefills, &decodes)
-	if c, ok := v.recompute(need, &local); ok && (!found || c.FirstTokenNS < choice.FirstTokenNS) {
+	c, ok := v.recompute(need, &local)
+	if !ok {
+		return choice, found
+	}
+	moved := earliest - float64(now)
+	if found {
+		moved = float64(choice.FirstTokenNS)
+	}
+	if v.recomputeEarns(&c, moved, need) {
 		return c, true
 	}
 	return choice, found
 }
 
+// recomputeEarns says whether a prefill beside a batch is worth the time that
+// it takes from that batch, against a first token after moved by way of a
+// prefill engine, which may still be busy: the request then waits for it.
+func (v *View) recomputeEarns(c *Choice, moved float64, need Need) bool {
+	first := float64(c.FirstTokenNS)
+	displaced := v.Engines[c.Decode].displacedNS(need)
+	if need.LeftNS > 0 && moved > need.LeftNS {
+		// Only the batch can have it in time. One late request costs as much
+		// as what a target's worth of decode time would have served.
+		return displaced <= need.LeftNS
+	}
+	return first+displaced < moved
+}
+
+// displacedNS is the decode time that a prefill beside the engine's batch takes
+// from others: each request of the batch is held up for as long as it runs, and
+// that is time lost as far as the engine's memory is in use.
+func (e *EngineView) displacedNS(need Need) float64 {
+	used := e.fill()
+	if e.KVTokens > 0 {
+		used = max(used, 1-float64(e.KVFree)/float64(e.KVTokens))
+	}
+	return e.prefillNS(need) * float64(e.Held) * min(max(used, 0), 1)
+}
+
 // PlaceKept finds the decode engine for a request whose prefill result is
 // still kept by an engine.
 func PlaceKept(v *View, now int64, need Need, kept int) (Choice, bool) {
@@ -276,7 +319,7 @@
 		e := &v.Engines[d]
 		// The prefill runs in pieces between steps, so the batch slows it.
 		first := int64(e.prefillNS(need) + e.stepNS(e.Held+1))
-		score := float64(first) + v.ZoneNS[z]
+		score := float64(first) + e.displacedNS(need) + v.ZoneNS[z]
 		if out.Decode == none || score < lowest {
 			lowest = score
 			out.Decode = d
--- a/state/schedule/queue.go
+++ b/state/schedule/queue.go
@@ -108,7 +108,11 @@
 	if g.cfg.Growing {
 		g.forecastMemory(t, a)
 	}
-	need := Need{PromptTokens: a.PromptTokens, KVTokens: a.PromptTokens + a.OutputTokens}
+	need := Need{
+		PromptTokens: a.PromptTokens,
+		KVTokens:     a.PromptTokens + a.OutputTokens,
+		LeftNS:       float64(w.deadline - t),
+	}
 	if i, ok := g.index[a.Kept]; ok && a.Kept != "" {
 		return PlaceKept(&g.view, t, need, i)
 	}
