Engines' memory is forecast with its chance; lengths of answers are learnt

Cause: the forecast grew every request to a fixed multiple of its guess and filled memory to 0.88 of the peak. That part suits answers as long as prompts; with short answers memory was used to 0.65 to 0.85 while requests were refused (further). Change: lengths against guesses are learnt, each request goes on by chance, and memory is kept within 2.5 standard deviations of the mean, or within what all need if none ends. guessBias, overrunShare, leastRest and memoryMargin are gone. Tests: TestOraclePeak and TestOracleRoom tested functions that are gone; TestOracleForecast and TestStepsUntilRoom take their place, with a play of drawn lengths as the oracle, and TestOracleRisk bounds how often a filled engine overflows.

--- /dev/null
+++ b/state/schedule/forecast_test.go
@@ -0,0 +1,164 @@
+// Copyright 2026 The Runridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package schedule
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"runridge.example/runridge/state/estimate"
+)
+
+// drawnLengths are the answers' lengths of one play of some loads, drawn anew
+// until each is longer than what there is of it.
+func drawnLengths(random *rand.Rand, loads []load, spread float64) []float64 {
+	out := make([]float64, len(loads))
+	for i, l := range loads {
+		for out[i] <= float64(l.made) {
+			out[i] = float64(l.guess) * math.Exp(spread*random.NormFloat64())
+		}
+	}
+	return out
+}
+
+// heldAfter is the memory that the loads take some steps on, by their lengths.
+func heldAfter(loads []load, lengths []float64, steps float64) float64 {
+	held := 0.0
+	for i, l := range loads {
+		if lengths[i] > float64(l.made)+steps {
+			held += float64(l.held) + steps
+		}
+	}
+	return held
+}
+
+func drawLoads(t *rapid.T, most int) []load {
+	var out []load
+	for range rapid.IntRange(1, most).Draw(t, "loads") {
+		guess := rapid.IntRange(50, 2000).Draw(t, "guess")
+		made := rapid.IntRange(0, guess*3/2).Draw(t, "made")
+		out = append(out, load{held: rapid.IntRange(100, 6000).Draw(t, "prompt") + made, guess: guess, made: made})
+	}
+	return out
+}
+
+// plays is the number of plays of one drawn set of loads; the tolerances below
+// are several standard errors wide.
+const plays = 2000
+
+func TestOracleForecast(t *testing.T) {
+	const usual, spread = 700.0, 0.5 // the zero value of estimate.Length has this spread
+	rapid.Check(t, func(t *rapid.T) {
+		loads := drawLoads(t, 8)
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		var f forecast
+		largest := 0.0
+		for _, l := range loads {
+			f = f.with(l, usual, estimate.Length{})
+			largest += float64(l.held) + usual
+		}
+		sums, squares := [horizons]float64{}, [horizons]float64{}
+		for range plays {
+			lengths := drawnLengths(random, loads, spread)
+			for k := range ahead {
+				held := heldAfter(loads, lengths, ahead[k]*usual)
+				sums[k] += held
+				squares[k] += held * held
+			}
+		}
+		for k := range ahead {
+			mean := sums[k] / plays
+			deviation := math.Sqrt(max(squares[k]/plays-mean*mean, 0))
+			if math.Abs(mean-f.mean[k]) > 0.05*largest {
+				t.Fatalf("moment %d: mean %.0f, played %.0f", k, f.mean[k], mean)
+			}
+			if math.Abs(deviation-math.Sqrt(f.variance[k])) > 0.05*largest {
+				t.Fatalf("moment %d: deviation %.0f, played %.0f", k, math.Sqrt(f.variance[k]), deviation)
+			}
+		}
+	})
+}
+
+func TestOracleRisk(t *testing.T) {
+	// An engine that is filled up to the forecast's peak overflows rarely. The
+	// plays look at each step's memory, not only at the forecast's moments.
+	const spread, rarely = 0.5, 0.12
+	cases := map[string]struct {
+		memory, prompt, guess int
+	}{
+		"short answers to long prompts": {memory: 41_000, prompt: 3200, guess: 640},
+		"answers as long as prompts":    {memory: 89_000, prompt: 5200, guess: 4400},
+		"long answers":                  {memory: 60_000, prompt: 1000, guess: 4000},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			random := rand.New(rand.NewPCG(5, 5))
+			overflows, fills, sets := 0, 0.0, 300
+			for range sets {
+				usual := estimate.Length{}.Expected(c.guess)
+				var f forecast
+				var loads []load
+				for {
+					made := int(random.Float64() * float64(c.guess))
+					l := load{held: c.prompt + made, guess: c.guess, made: made}
+					with := f.with(l, usual, estimate.Length{})
+					if with.peak() > float64(c.memory) {
+						break
+					}
+					f = with
+					loads = append(loads, l)
+				}
+				fills += f.mean[0] / float64(c.memory)
+				lengths := drawnLengths(random, loads, spread)
+				for steps := 0.0; steps <= usual; steps += usual / 100 {
+					if heldAfter(loads, lengths, steps) > float64(c.memory) {
+						overflows++
+						break
+					}
+				}
+			}
+			t.Logf("%d of %d overflowed, filled to %.2f", overflows, sets, fills/float64(sets))
+			if float64(overflows) > rarely*float64(sets) {
+				t.Errorf("%d of %d sets overflowed", overflows, sets)
+			}
+			if fills/float64(sets) < 0.6 {
+				t.Errorf("filled to %.2f only", fills/float64(sets))
+			}
+		})
+	}
+}
+
+func TestStepsUntilRoom(t *testing.T) {
+	usual := estimate.Length{}.Expected(640)
+	full := func(requests int) forecast {
+		var f forecast
+		for i := range requests {
+			f = f.with(load{held: 3200 + 60*i, guess: 640, made: 60 * i}, usual, estimate.Length{})
+		}
+		return f
+	}
+	further := load{held: 3200, guess: 640}
+	cases := map[string]struct {
+		requests int
+		now      bool
+		never    bool
+	}{
+		"an empty engine has room now":            {requests: 0, now: true},
+		"a full one has room in a while":          {requests: 11},
+		"one that is overfull beyond the horizon": {requests: 60, never: true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := full(c.requests)
+			steps := f.stepsUntilRoom(further, usual, 41_000, estimate.Length{})
+			switch {
+			case c.now && steps != 0, c.never && steps >= 0, !c.now && !c.never && (steps <= 0 || steps > usual):
+				t.Errorf("%.0f steps", steps)
+			}
+		})
+	}
+}
--- a/state/schedule/group.go
+++ b/state/schedule/group.go
@@ -84,8 +84,9 @@
 	view    View
 	waiting []*waiter
 	grants  map[lifecycle.AttemptID]*grant
-	// usual is the mean memory of an ask.
-	usual usualLoad
+	// usual is the mean ask, and lengths how long answers become.
+	usual   usualLoad
+	lengths estimate.Length
 	// ejections are the engines taken out that nobody was told of yet.
 	ejections []Ejection
 	// lost are grants that are over here and may run on at their engine.
@@ -304,7 +305,7 @@
 	if !a.Resume && !a.Spill {
 		g.asks = g.asks.plus(t, 1, asksHalfLife)
 	}
-	g.usual = g.usual.with(load{held: a.PromptTokens, rest: restOf(a.OutputTokens, 0)})
+	g.usual = g.usual.with(a)
 	w := g.waiter(a, t)
 	if refusal, refused := g.refuseEarly(w, t); refused {
 		return []Decision{refusal}
--- a/state/schedule/learn.go
+++ b/state/schedule/learn.go
@@ -106,6 +106,9 @@
 		e.step = e.step.With(expected*time.Duration(r.Steps), r.StepTime)
 		g.refresh(gr.decode)
 	}
+	if g.cfg.Growing && !gr.ask.Resume {
+		g.lengths = g.lengths.With(gr.ask.OutputTokens, r.Steps)
+	}
 	g.learnLink(gr, r)
 }
 
--- a/state/schedule/memory.go
+++ b/state/schedule/memory.go
@@ -4,100 +4,34 @@
 package schedule
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
 
-// load is the memory of one request on an engine, in tokens.
-type load struct {
-	// held is what it takes now; rest is how much it is expected to grow
-	// before it ends and gives all back.
-	held, rest int
-}
-
-const (
-	// guessBias is the mean length of an answer over the caller's guess, which
-	// is right in the median: long answers are longer than short ones are short.
-	guessBias = 1.15
-	// overrunShare is the part of the guess that is expected to come yet of an
-	// answer that is as long as guessed already, and leastRest the least.
-	overrunShare = 0.25
-	leastRest    = 128
-	// memoryMargin is the part of an engine's memory that is filled.
-	memoryMargin = 0.88
-)
-
-// restOf is how much an answer is expected to grow.
-func restOf(guess, made int) int {
-	expected := int(float64(guess) * guessBias)
-	return max(expected-made, int(float64(guess)*overrunShare), leastRest)
-}
-
-// usualLoad is the mean memory of what is asked for lately, in tokens.
-type usualLoad struct{ held, rest float64 }
+// usualLoad is the mean of what is asked for lately, in tokens.
+type usualLoad struct{ prompt, guess float64 }
 
 // usualShare is the weight of one ask in the mean.
 const usualShare = 1.0 / 32
 
 // with returns the mean after one more ask.
-func (u usualLoad) with(l load) usualLoad {
+func (u usualLoad) with(a Ask) usualLoad {
 	if u == (usualLoad{}) {
-		return usualLoad{held: float64(l.held), rest: float64(l.rest)}
+		return usualLoad{prompt: float64(a.PromptTokens), guess: float64(a.OutputTokens)}
 	}
-	u.held += (float64(l.held) - u.held) * usualShare
-	u.rest += (float64(l.rest) - u.rest) * usualShare
+	u.prompt += (float64(a.PromptTokens) - u.prompt) * usualShare
+	u.guess += (float64(a.OutputTokens) - u.guess) * usualShare
 	return u
 }
 
-// atMost is a load, or the usual one if that is smaller.
-func (u usualLoad) atMost(l load) load {
-	return load{held: min(l.held, int(u.held)), rest: min(l.rest, int(u.rest))}
+// atMost is the load of an ask, or the usual one if that is smaller.
+func (u usualLoad) atMost(a Ask) load {
+	return load{held: min(a.PromptTokens, int(u.prompt)), guess: min(a.OutputTokens, int(u.guess))}
 }
 
-// byEnd puts loads in the order in which they end.
-func byEnd(loads []load) {
-	slices.SortFunc(loads, func(a, b load) int { return cmp.Compare(a.rest, b.rest) })
-}
-
-// peak is the most memory that loads take together from now on, when each
-// grows by a token a step until it ends. The loads are put in order.
-func peak(loads []load) int {
-	byEnd(loads)
-	held := 0
-	for _, l := range loads {
-		held += l.held
-	}
-	highest := held
-	left := len(loads)
-	for _, l := range loads {
-		// Just before this one ends, all that are left have grown as far.
-		highest = max(highest, held+left*l.rest)
-		held -= l.held
-		left--
-	}
-	return highest
-}
-
-// stepsUntilRoom is after how many steps a further load fits beside others in
-// a memory, or -1 if it never does. The loads are put in order.
-func stepsUntilRoom(loads []load, further load, memory int) int {
-	byEnd(loads)
-	scratch := make([]load, 0, len(loads)+1)
-	for first := 0; first <= len(loads); first++ {
-		steps := 0
-		if first > 0 {
-			steps = loads[first-1].rest
-		}
-		scratch = scratch[:0]
-		for _, l := range loads[first:] {
-			scratch = append(scratch, load{held: l.held + steps, rest: l.rest - steps})
-		}
-		if peak(append(scratch, further)) <= memory {
-			return steps
-		}
-	}
-	return -1
+// usualLength is the expected length of a usual answer, in tokens.
+func (g *Group) usualLength() float64 {
+	return max(g.lengths.Expected(int(g.usual.guess)), 1)
 }
 
 // loadsOn lists the memory of the requests on each engine: those granted, and
@@ -111,11 +45,11 @@
 	}
 	for i := range g.engines {
 		if hidden := g.engines[i].hiddenBy(t); hidden > 0 {
-			out[i] = append(out[i], load{held: hidden, rest: leastRest})
+			out[i] = append(out[i], load{held: hidden})
 		}
 	}
 	g.lost = slices.DeleteFunc(g.lost, func(gr *grant) bool {
-		if gr.decode == none || g.madeBy(t, gr) >= int(float64(gr.ask.OutputTokens)*guessBias) {
+		if gr.decode == none || float64(g.madeBy(t, gr)) >= g.lengths.Expected(gr.ask.OutputTokens) {
 			return true
 		}
 		out[gr.decode] = append(out[gr.decode], g.loadOf(t, gr))
@@ -166,7 +100,7 @@
 // loadOf is the memory of one grant.
 func (g *Group) loadOf(t int64, gr *grant) load {
 	made := g.madeBy(t, gr)
-	return load{held: gr.ask.PromptTokens + made, rest: restOf(gr.ask.OutputTokens, made)}
+	return load{held: gr.ask.PromptTokens + made, guess: max(gr.ask.OutputTokens, 1), made: made}
 }
 
 // madeBy is how many tokens a grant's engine should have made.
@@ -178,14 +112,27 @@
 	return int(float64(max(t-gr.decodeAt, 0)) / max(v.stepNS(v.Held), 1))
 }
 
+// forecasts works out each engine's memory from now on.
+func (g *Group) forecasts(t int64) []forecast {
+	usual := g.usualLength()
+	out := make([]forecast, len(g.engines))
+	for i, loads := range g.loadsOn(t) {
+		for _, l := range loads {
+			out[i] = out[i].with(l, usual, g.lengths)
+		}
+	}
+	return out
+}
+
 // forecastMemory sets what each engine can still promise to an ask, by the
 // highest point that its memory is expected to reach.
 func (g *Group) forecastMemory(t int64, a Ask) {
-	further := load{held: a.PromptTokens, rest: restOf(a.OutputTokens, 0)}
+	usual := g.usualLength()
+	further := load{held: a.PromptTokens, guess: max(a.OutputTokens, 1)}
 	need := a.PromptTokens + a.OutputTokens
-	for i, loads := range g.loadsOn(t) {
-		memory := int(float64(g.engines[i].spec.KVTokens) * memoryMargin)
-		g.view.Engines[i].KVFree = memory - peak(append(loads, further)) + need
+	for i, f := range g.forecasts(t) {
+		with := f.with(further, usual, g.lengths)
+		g.view.Engines[i].KVFree = g.engines[i].spec.KVTokens - int(with.peak()) + need
 	}
 }
 
@@ -193,19 +140,19 @@
 // that is larger than usual is reckoned as one of usual size: by its own size it
 // would be refused far more often than the others.
 func (g *Group) memoryWaitNS(t int64, a Ask) int64 {
-	further := g.usual.atMost(load{held: a.PromptTokens, rest: restOf(a.OutputTokens, 0)})
+	usual := g.usualLength()
+	further := g.usual.atMost(a)
 	earliest := int64(-1)
-	for i, loads := range g.loadsOn(t) {
+	for i, f := range g.forecasts(t) {
 		v := &g.view.Engines[i]
 		if !v.Decode {
 			continue
 		}
-		memory := int(float64(g.engines[i].spec.KVTokens) * memoryMargin)
-		steps := stepsUntilRoom(loads, further, memory)
+		steps := f.stepsUntilRoom(further, usual, float64(g.engines[i].spec.KVTokens), g.lengths)
 		if steps < 0 {
 			continue
 		}
-		if wait := int64(float64(steps) * v.stepNS(max(v.Held, 1))); earliest < 0 || wait < earliest {
+		if wait := int64(steps * v.stepNS(max(v.Held, 1))); earliest < 0 || wait < earliest {
 			earliest = wait
 		}
 	}
