Tests: callers order no engines; a leaving endpoint stays left while the store is away

Cause: without X-Pin-Ms, X-Kv-Hold and X-Kv-Backup in the list of headers that only a box sets, all tests stayed green, and nothing drove a noted leaving or requests without a key through an outage of the store. Change: one test for each. Taking any of the three headers off the list fails the first.

--- /dev/null
+++ b/tests/routed/rules_test.go
@@ -0,0 +1,62 @@
+// Copyright 2026 The Runridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package routed
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"runridge.example/runridge/platform/standin"
+)
+
+// TestCallersOrderNoEngines sends each header that only a box may set.
+func TestCallersOrderNoEngines(t *testing.T) {
+	forged := map[string]string{
+		"X-Kv-Hold":        "hold-of-another",
+		"X-Pin-Ms":         "4000",
+		"X-Kv-Backup":      "1.2.3.4:5",
+		"X-Kv-Source":      "1.2.3.4:5/handle",
+		"Kv-Fetch":         "1.2.3.4:5",
+		"X-Expect-Version": "7",
+	}
+	convey.Convey("No header that sets an engine's memory or weights reaches an engine as a caller sent it", t, func() {
+		s := newSite(t, 1, modelEnds()...)
+		for name, value := range forged {
+			a := s.send(s.boxes[0], http.MethodPost, "/stream/x", "prompt", map[string]string{name: value, "X-Other": "kept"})
+			convey.So(a.status, convey.ShouldEqual, http.StatusOK)
+			run := s.runOf(a.id)
+			convey.So(run.Header.Get("X-Other"), convey.ShouldEqual, "kept")
+			convey.So(run.Header.Get(name), convey.ShouldNotEqual, value)
+		}
+	})
+}
+
+func TestStoreAway(t *testing.T) {
+	faults := map[string]standin.Fault{"busy": standin.Busy, "silent": standin.Silent, "reset": standin.Reset}
+	for name, fault := range faults {
+		t.Run(name, func(t *testing.T) {
+			convey.Convey("While the platform's store is away, requests without a key are served and a leaving endpoint stays left", t, func() {
+				s := newSite(t, 1, plainEnds()[:2]...)
+				b := s.boxes[0]
+				s.store.Put("servers", "p1", s.ends["p1"].Spec(true))
+				s.eventually("requests go to the other", func() bool {
+					return s.send(b, http.MethodGet, "/safe/x", "", nil).body == "answer of p2"
+				})
+				s.store.SetFault(fault)
+				before := s.ends["p1"].Sends()
+				for _, path := range []string{"/safe/x", "/unsafe/x"} {
+					for range 10 {
+						a := s.send(b, http.MethodPost, path, "", nil)
+						convey.So(a.status, convey.ShouldEqual, http.StatusOK)
+						convey.So(a.body, convey.ShouldEqual, "answer of p2")
+						convey.So(a.whole, convey.ShouldBeTrue)
+					}
+				}
+				convey.So(s.ends["p1"].Sends(), convey.ShouldEqual, before)
+			})
+		})
+	}
+}
