A box that starts puts the first table it reads into force

Cause: each box waited 300 ms for another box's word on the table. Change: where the platform's reads are never stale, nothing is waited for. TestFirstTable fails without it.

--- a/box/box.go
+++ b/box/box.go
@@ -207,6 +207,7 @@
 		Peers:    others,
 		Ranked:   b.router.Ranked,
 		Settle:   b.settle(),
+		Fresh:    b.routed != nil,
 		EveryBox: b.routed != nil,
 		Wait:     b.tableWait(),
 		Log:      o.Log,
--- a/box/routed.go
+++ b/box/routed.go
@@ -67,8 +67,9 @@
 	spareBoxes = 2
 	// readyPatience bounds the reading of one question of the balancer.
 	readyPatience = 2 * time.Second
-	// freshSettle is how long a box that starts waits for others' word on the
-	// table when the platform's reads are never stale.
+	// freshSettle is how long a box that starts waits for a table of its own or
+	// of another box when the platform's reads are never stale: a few round trips
+	// to a box and one retry.
 	freshSettle = 300 * time.Millisecond
 	// memoryShare is the part of the box's memory that the heap may take.
 	memoryShare = 0.6
--- a/coordination/follow/follow.go
+++ b/coordination/follow/follow.go
@@ -60,7 +60,10 @@
 	// Settle bounds how long a starting box waits for the others' word before
 	// it puts its first table into force.
 	Settle time.Duration
-	Log    log.Logger
+	// Fresh says that the platform's reads are never stale: the first table read
+	// is as new as any in force, so that nothing is waited for.
+	Fresh bool
+	Log   log.Logger
 }
 
 const (
@@ -400,6 +403,9 @@
 		return next, nil
 	}
 	f.Offer(t)
+	if f.cfg.Fresh && version == 0 {
+		f.tryOpen(true)
+	}
 	return next, nil
 }
 
--- a/coordination/follow/follow_test.go
+++ b/coordination/follow/follow_test.go
@@ -66,13 +66,18 @@
 
 // begin runs a follower whose reads the test answers.
 func begin(t *testing.T) (*Follower, scripted) {
+	t.Helper()
+	return beginWith(t, Config{Settle: time.Nanosecond})
+}
+
+// beginWith runs a follower with its own times.
+func beginWith(t *testing.T, cfg Config) (*Follower, scripted) {
 	t.Helper()
 	platform := scripted{calls: make(chan call)}
-	f := New(Config{
-		Self: "box-1", Platform: platform, Peers: silentPeers{}, EveryBox: true,
-		Ranked: func(string) []string { return []string{"box-1"} },
-		Settle: time.Nanosecond, Wait: time.Minute, Log: log.Discard(),
-	})
+	cfg.Self, cfg.Platform, cfg.Peers, cfg.EveryBox = "box-1", platform, silentPeers{}, true
+	cfg.Ranked = func(string) []string { return []string{"box-1"} }
+	cfg.Wait, cfg.Log = time.Minute, log.Discard()
+	f := New(cfg)
 	ctx, end := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() {
@@ -136,3 +141,23 @@
 		convey.So(f.Table().Zones, convey.ShouldBeEmpty)
 	})
 }
+
+func TestFirstTable(t *testing.T) {
+	cases := map[string]struct {
+		fresh bool
+		want  uint64
+	}{
+		"reads that are never stale need no other box's word": {fresh: true, want: 5},
+		"a read that may be stale waits for it":               {fresh: false, want: 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			convey.Convey("When all boxes start at once, nobody has a word on the table", t, func() {
+				f, platform := beginWith(t, Config{Settle: time.Hour, Fresh: c.fresh})
+				(<-platform.calls).reply <- reply{object: object(t, 5)}
+				<-platform.calls
+				convey.So(f.Table().Generation, convey.ShouldEqual, c.want)
+			})
+		})
+	}
+}
