The retry budget uses nine tenths of its ratio, and the steady clock

Cause: requests whose engine died were refused by a budget that left half of the bound unused; and it counted by the wall clock, so that a step ahead forgot what was spent and a step back put all into one slot. Change: 0.9 of the ratio and half of the fixed allowance; times are the box's uptime. TestOracleBoxes holds for 300,000 draws.

--- a/coordination/relay/relay.go
+++ b/coordination/relay/relay.go
@@ -190,18 +190,21 @@
 func (r *Relay) noteRequest(service string) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.budgets[service] = r.budgets[service].WithRequest(r.cfg.Now())
+	r.budgets[service] = r.budgets[service].WithRequest(r.uptime())
 }
 
+// uptime is how long the box has run, by the steady clock.
+func (r *Relay) uptime() time.Duration { return r.cfg.Now().Sub(r.started) }
+
 // mayRepeat spends one further arrival at a service, if the budget has it.
 func (r *Relay) mayRepeat(service string) bool {
-	box := retry.Box{Boxes: 1, Started: r.started}
+	boxes := 1
 	if r.cfg.Boxes != nil {
-		box.Boxes = r.cfg.Boxes()
+		boxes = r.cfg.Boxes()
 	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	next, ok := r.budgets[service].WithRepeat(r.cfg.Now(), r.cfg.Budget, box)
+	next, ok := r.budgets[service].WithRepeat(r.uptime(), r.cfg.Budget, boxes)
 	r.budgets[service] = next
 	if !ok && r.cfg.Metrics != nil {
 		r.cfg.Metrics.BudgetDenied(service)
--- a/state/retry/budget.go
+++ b/state/retry/budget.go
@@ -21,14 +21,19 @@
 const (
 	// slots is the number of parts that a window is counted in.
 	slots = 20
-	// share is the part of the bound that is used. The rest covers what boxes
-	// spent before a restart in which they lost their count.
-	share = 0.5
+	// slackShare is the part of the fixed allowance that is used. The rest covers
+	// what boxes spent before a restart in which they lost their count.
+	slackShare = 0.5
+	// ratioShare is the part of the allowance for requests that is used. A box
+	// that restarts loses the count of its requests with that of its repeats; the
+	// rest covers requests and repeats that fall into different windows.
+	ratioShare = 0.9
 )
 
-// Budget counts one box's requests and repeats for one service; a value.
+// Budget counts one box's requests and repeats for one service; a value. Its
+// times are how long the box has run, which no step of the wall clock changes.
 type Budget struct {
-	// at is the number of the newest slot since the epoch.
+	// at is the number of the newest slot since the box's start.
 	at       int64
 	requests [slots]float64
 	repeats  [slots]float64
@@ -38,11 +43,11 @@
 // defaultWindow is used where the config says nothing.
 const defaultWindow = 10 * time.Second
 
-func (b Budget) moved(now time.Time) Budget {
+func (b Budget) moved(uptime time.Duration) Budget {
 	if b.width <= 0 {
 		b.width = defaultWindow / slots
 	}
-	at := now.UnixNano() / int64(b.width)
+	at := int64(uptime / b.width)
 	for ; b.at < at && at-b.at < slots; b.at++ {
 		i := (b.at + 1) % slots
 		b.requests[i], b.repeats[i] = 0, 0
@@ -55,40 +60,33 @@
 }
 
 // WithRequest returns the budget after one request.
-func (b Budget) WithRequest(now time.Time) Budget {
-	b = b.moved(now)
+func (b Budget) WithRequest(uptime time.Duration) Budget {
+	b = b.moved(uptime)
 	b.requests[b.at%slots]++
 	return b
 }
 
-// Box is what one box knows of its part in the bound.
-type Box struct {
-	// Boxes is how many boxes share the slack.
-	Boxes int
-	// Started is when this box started. Its part of the slack grows from
-	// nothing over the first window: what it spent before is not known.
-	Started time.Time
-}
-
-// slack is the box's part of the fixed allowance.
-func (c Config) slack(now time.Time, box Box) float64 {
-	grown := min(max(float64(now.Sub(box.Started))/float64(max(c.Window, 1)), 0), 1)
-	return c.Slack / float64(max(box.Boxes, 1)) * grown
+// slack is a box's part of the fixed allowance, of so many boxes. It grows from
+// nothing over the first window: what the box spent before its start is not
+// known.
+func (c Config) slack(uptime time.Duration, boxes int) float64 {
+	grown := min(max(float64(uptime)/float64(max(c.Window, 1)), 0), 1)
+	return c.Slack / float64(max(boxes, 1)) * grown
 }
 
 // WithRepeat returns the budget after one further arrival, or false if this
-// box may bring no more now.
-func (b Budget) WithRepeat(now time.Time, cfg Config, box Box) (Budget, bool) {
+// box, one of so many that share the bound, may bring no more now.
+func (b Budget) WithRepeat(uptime time.Duration, cfg Config, boxes int) (Budget, bool) {
 	if cfg.Window > 0 && b.width != cfg.Window/slots {
-		b = Budget{width: cfg.Window / slots}.moved(now)
+		b = Budget{width: cfg.Window / slots}.moved(uptime)
 	}
-	b = b.moved(now)
+	b = b.moved(uptime)
 	requests, repeats := 0.0, 0.0
 	for i := range b.requests {
 		requests += b.requests[i]
 		repeats += b.repeats[i]
 	}
-	allowed := share * (cfg.Ratio*requests + cfg.slack(now, box))
+	allowed := ratioShare*cfg.Ratio*requests + slackShare*cfg.slack(uptime, boxes)
 	if repeats+1 > allowed {
 		return b, false
 	}
