--- a/state/schedule/forecast.go
+++ b/state/schedule/forecast.go
@@ -39,8 +39,8 @@
 	all, mean, variance [horizons]float64
 }
 
-// with returns the forecast after one more request. Step is the length of a
-// usual answer in tokens.
+// with returns the forecast after one more request. Usual is the length of a
+// usual answer, in tokens.
 func (f forecast) with(l load, usual float64, length estimate.Length) forecast {
 	for k := range f.all {
 		held, goesOn := float64(l.held), 1.0
@@ -101,9 +101,9 @@
 	return -1
 }
 
-// kept is an engine's forecast and when it was made, in the group's time; 0 is
-// a forecast that has to be made anew.
-type kept struct {
+// cachedForecast is an engine's forecast and when it was made, in the group's
+// time; 0 is a forecast that has to be made anew.
+type cachedForecast struct {
 	forecast
 	at int64
 }
@@ -113,6 +113,6 @@
 const forecastAge = int64(20 * time.Millisecond)
 
 // stale says whether the forecast has to be made anew.
-func (k *kept) stale(t int64) bool {
-	return k.at == 0 || t-k.at > forecastAge
+func (c *cachedForecast) stale(t int64) bool {
+	return c.at == 0 || t-c.at > forecastAge
 }
--- a/state/schedule/group.go
+++ b/state/schedule/group.go
@@ -50,7 +50,7 @@
 	hidden    int
 	hiddenAt  int64
 	// memory is the forecast of the engine's memory.
-	memory kept
+	memory cachedForecast
 }
 
 // unknownReports is how many reports must agree before the group believes
@@ -82,8 +82,6 @@
 	start   time.Time
 	engines []engine
 	index   map[string]int
-	// indexes are those of all engines.
-	indexes []int
 	zones   []string
 	view    View
 	waiting []*waiter
@@ -201,7 +199,6 @@
 func (g *Group) adopt(specs []EngineSpec) {
 	g.engines = make([]engine, len(specs))
 	g.index = make(map[string]int, len(specs))
-	g.indexes = make([]int, len(specs))
 	g.zones = zonesOf(specs)
 	n := len(g.zones)
 	g.links = make([]estimate.Factor, n*n)
@@ -219,7 +216,6 @@
 	}
 	for i, s := range specs {
 		g.engines[i] = engine{spec: s}
-		g.indexes[i] = i
 		g.index[s.Name] = i
 		g.view.Engines[i] = EngineView{
 			Zone:     slices.Index(g.zones, s.Zone),
--- a/state/schedule/memory.go
+++ b/state/schedule/memory.go
@@ -118,20 +118,23 @@
 
 // updateForecasts makes the forecasts anew that are stale.
 func (g *Group) updateForecasts(t int64) {
-	stale := func(i int) bool { return g.engines[i].spec.Decode && g.engines[i].memory.stale(t) }
-	if !slices.ContainsFunc(g.indexes, stale) {
+	stale := make([]bool, len(g.engines))
+	for i := range g.engines {
+		stale[i] = g.engines[i].spec.Decode && g.engines[i].memory.stale(t)
+	}
+	if !slices.Contains(stale, true) {
 		return
 	}
 	usual := g.usualLength()
-	for i, loads := range g.loadsOn(t, stale) {
-		if !stale(i) {
+	for i, loads := range g.loadsOn(t, func(i int) bool { return stale[i] }) {
+		if !stale[i] {
 			continue
 		}
 		f := forecast{}
 		for _, l := range loads {
 			f = f.with(l, usual, g.lengths)
 		}
-		g.engines[i].memory = kept{forecast: f, at: max(t, 1)}
+		g.engines[i].memory = cachedForecast{forecast: f, at: max(t, 1)}
 	}
 }
 
