--- a/state/schedule/forecast_test.go
+++ b/state/schedule/forecast_test.go
@@ -7,10 +7,13 @@
 	"math"
 	"math/rand/v2"
 	"testing"
+	"time"
 
+	"github.com/smartystreets/goconvey/convey"
 	"pgregory.net/rapid"
 
 	"runridge.example/runridge/state/estimate"
+	"runridge.example/runridge/state/lifecycle"
 )
 
 // drawnLengths are the answers' lengths of one play of some loads, drawn anew
@@ -162,3 +165,22 @@
 		})
 	}
 }
+
+func TestWaitBeyondTheForecast(t *testing.T) {
+	convey.Convey("A request is not kept waiting for an engine that has no room as far as the forecast reaches", t, func() {
+		g := growing(1, 10_000)
+		// A home before this one granted far more than there is room for.
+		for n := range uint64(30) {
+			g.Adopt(start, Adopted{
+				Ask:       askOf(n, 2000, 1000),
+				Plan:      lifecycle.Plan{Mode: lifecycle.Move, Prefill: "p", Decode: "a"},
+				Prefilled: true,
+			})
+		}
+		decisions := g.Ask(start, askOf(100, 1000, 1000))
+		convey.So(decisions, convey.ShouldHaveLength, 1)
+		refusal, refused := decisions[0].(Refuse)
+		convey.So(refused, convey.ShouldBeTrue)
+		convey.So(refusal.Seen.Wait, convey.ShouldBeGreaterThan, 500*time.Millisecond)
+	})
+}
--- a/state/schedule/memory.go
+++ b/state/schedule/memory.go
@@ -153,14 +153,15 @@
 	}
 }
 
-// memoryWaitNS is how long an ask waits until the first engine has room. One
-// that is larger than usual is reckoned as one of usual size: by its own size it
-// would be refused far more often than the others.
+// memoryWaitNS is how long an ask waits until the first engine has room; where
+// none has within the forecast, as long as that reaches. One that is larger than
+// usual is reckoned as one of usual size: by its own size it would be refused far
+// more often than the others.
 func (g *Group) memoryWaitNS(t int64, a Ask) int64 {
 	g.updateForecasts(t)
 	usual := g.usualLength()
 	further := forecast{}.with(g.usual.atMost(a), usual, g.lengths)
-	earliest := int64(-1)
+	earliest, found := int64(0), false
 	for i := range g.engines {
 		v, e := &g.view.Engines[i], &g.engines[i]
 		if !v.Decode {
@@ -168,11 +169,12 @@
 		}
 		steps := e.memory.stepsUntilRoom(&further, usual, float64(e.spec.KVTokens))
 		if steps < 0 {
-			continue
+			steps = usual
 		}
-		if wait := int64(steps * v.stepNS(max(v.Held, 1))); earliest < 0 || wait < earliest {
-			earliest = wait
+		wait := int64(steps * v.stepNS(max(v.Held, 1)))
+		if !found || wait < earliest {
+			earliest, found = wait, true
 		}
 	}
-	return max(earliest, 0)
+	return earliest
 }
