--- a/tests/mutants/shared.go
+++ b/tests/mutants/shared.go
@@ -46,8 +46,8 @@
 	},
 	{
 		name: "refused_by_own_length", file: memoryFile, pkg: scheduleTests, args: only("TestNoLengthStarves"),
-		old:   "further := g.usual.atMost(a)",
-		fault: "further := load{held: a.PromptTokens, guess: a.OutputTokens}",
+		old:   "forecast{}.with(g.usual.atMost(a), ",
+		fault: "forecast{}.with(load{held: a.PromptTokens, guess: a.OutputTokens}, ",
 	},
 	{
 		name: "grants_of_earlier_process_kept", file: groupFile, pkg: scheduleTests, args: only("TestDropBefore"),
