Few boxes read the platform; others stand in while these are silent

Change: state/cover decides who reads, for endpoints and table alike; table changes go along the tree of deltas that the product has; a first table may be old; a box that stops leaves its entry; a line with the calls by kind each ten seconds. Tests replaced: TestStoreAway and TestDraining took one answer from another endpoint for the box's knowledge of a leaving one, and failed so in one of nine runs (endpoints take turns); they ask the box now, which is stricter. TestPlannedStop expected the entry gone after a stop; it expects it to stay, and TestBoxThatIsMissingJoinsAgain that a restart writes nothing.

--- a/box/box.go
+++ b/box/box.go
@@ -148,9 +148,14 @@
 		plain:    plainhttp.New(),
 	}
 	if o.Platform != nil {
-		platform := measured{RelayPlatform: o.Platform, metrics: func() *metric.Metrics { return b.metrics }}
+		counts := &callCounts{counts: make(map[string]int)}
+		platform := measured{
+			RelayPlatform: o.Platform,
+			metrics:       func() *metric.Metrics { return b.metrics },
+			counts:        counts,
+		}
 		b.platform = platform
-		b.routed = &routed{platform: platform, changed: ring.New[struct{}](1)}
+		b.routed = &routed{platform: platform, calls: counts, changed: ring.New[struct{}](1)}
 	} else {
 		b.ownPlatform = platformhttp.New(s.Platform)
 		b.platform = b.ownPlatform
@@ -208,7 +213,7 @@
 		Ranked:   b.router.Ranked,
 		Settle:   b.settle(),
 		Fresh:    b.routed != nil,
-		EveryBox: b.routed != nil,
+		Reads:    b.tableReads(),
 		Wait:     b.tableWait(),
 		Log:      o.Log,
 	})
@@ -401,6 +406,7 @@
 		running.Go(func() error { return b.routed.discoverer.Run(duties) })
 		running.Go(func() error { return b.mergeChanges(duties) })
 		running.Go(func() error { return b.routed.registry.Run(duties) })
+		running.Go(func() error { return b.routed.calls.report(duties, b.options.Log) })
 		running.Go(func() error { return b.serveReady(duties) })
 		running.Go(func() error { return b.routed.server.Serve(duties, b.routed.listener) })
 	}
@@ -441,7 +447,7 @@
 	b.stopping.Store(true)
 	b.members.Leave()
 	b.homes.Leave()
-	b.leaveRouted(ctx)
+	b.leaveRouted()
 	b.options.Log.WithFields(log.Fields{"active": b.Active()}).Info("box_leaving")
 	pause.For(ctx, time.Duration(b.lingerMS.Load())*time.Millisecond)
 }
--- a/box/measured.go
+++ b/box/measured.go
@@ -6,9 +6,11 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"runridge.example/runridge/coordination/adapter"
+	"runridge.example/runridge/modules/log"
 	"runridge.example/runridge/modules/metric"
 	"runridge.example/runridge/state/directory"
 )
@@ -17,6 +19,51 @@
 type measured struct {
 	RelayPlatform
 	metrics func() *metric.Metrics
+	counts  *callCounts
+}
+
+// callReport is how often a box logs its calls to the platform, by kind: often
+// enough to see which kind grows in a fault, at a line each time.
+const callReport = 10 * time.Second
+
+// callCounts counts the calls to the platform since the box started, by call
+// and result.
+type callCounts struct {
+	mutex  sync.Mutex
+	counts map[string]int
+}
+
+// add counts one call.
+func (c *callCounts) add(call, result string) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.counts[call+"."+result]++
+}
+
+// fields are the counts as fields of a log line.
+func (c *callCounts) fields() log.Fields {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	out := make(log.Fields, len(c.counts))
+	for name, n := range c.counts {
+		out[name] = n
+	}
+	return out
+}
+
+// report is the duty that logs the counts until the context ends.
+func (c *callCounts) report(ctx context.Context, l log.Logger) error {
+	ticker := time.NewTicker(callReport)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			l.WithFields(c.fields()).Info("platform_calls")
+			return nil
+		case <-ticker.C:
+			l.WithFields(c.fields()).Info("platform_calls")
+		}
+	}
 }
 
 // note counts one call.
@@ -34,6 +81,7 @@
 	case err != nil:
 		result = "failed"
 	}
+	m.counts.add(call, result)
 	if metrics := m.metrics(); metrics != nil {
 		metrics.PlatformCalled(call, result, time.Since(begin))
 	}
@@ -50,6 +98,14 @@
 	return o, err
 }
 
+// GetOld reads an object as it may have stood some seconds ago.
+func (m measured) GetOld(ctx context.Context, name string) (adapter.Object, error) {
+	begin := time.Now()
+	o, err := m.RelayPlatform.GetOld(ctx, name)
+	m.note("get_old", begin, err)
+	return o, err
+}
+
 // Boxes reads the list of boxes.
 func (m measured) Boxes(ctx context.Context) ([]adapter.Box, error) {
 	begin := time.Now()
@@ -67,9 +123,9 @@
 }
 
 // EndpointChanges waits for changes of endpoints.
-func (m measured) EndpointChanges(ctx context.Context, after uint64) ([]directory.Change, uint64, error) {
+func (m measured) EndpointChanges(ctx context.Context, after uint64, atOnce bool) ([]directory.Change, uint64, error) {
 	begin := time.Now()
-	changes, at, err := m.RelayPlatform.EndpointChanges(ctx, after)
+	changes, at, err := m.RelayPlatform.EndpointChanges(ctx, after, atOnce)
 	m.note("watch_endpoints", begin, err)
 	return changes, at, err
 }
--- a/box/routed.go
+++ b/box/routed.go
@@ -55,6 +55,7 @@
 	endpoints  *upstream.Client
 	discoverer *discover.Discoverer
 	registry   *registry.Keeper
+	calls      *callCounts
 	listener   net.Listener
 	ready      net.Listener
 	// changed is poked when the directory has changed.
@@ -114,6 +115,14 @@
 	r.server = relayhttp.New(relayhttp.Config{Relay: r.relay, Names: names, Log: b.options.Log})
 }
 
+// Directory is what is known of the endpoints; empty without routed services.
+func (b *Box) Directory() directory.Directory {
+	if b.routed == nil {
+		return directory.Directory{}
+	}
+	return b.routed.discoverer.Directory()
+}
+
 // knownBoxes is the number of boxes that there may be: those that look dead
 // from here may be cut off, and go on with their part of a shared bound.
 func (b *Box) knownBoxes() int {
@@ -300,9 +309,10 @@
 	return b.options.Settle
 }
 
-// routedWait bounds one wait for a new table where every box watches; it is
-// short, so that a silent platform is found out.
-const routedWait = 8 * time.Second
+// routedWait bounds one wait for a new table by a box that reads the platform
+// for all. It is short, so that a watch that the platform has dropped without a
+// word is made anew within the 2 s in which a change has to be in force.
+const routedWait = 1500 * time.Millisecond
 
 func (b *Box) tableWait() time.Duration {
 	if b.routed != nil {
@@ -311,6 +321,15 @@
 	return 0
 }
 
+// tableReads has the boxes that read the list of endpoints for all read the
+// table too: what covers a box covers it for both.
+func (b *Box) tableReads() func() bool {
+	if b.routed == nil {
+		return nil
+	}
+	return func() bool { return b.routed.discoverer.Reading() }
+}
+
 // watchSetter names engines to the watch, which speaks the product's own
 // protocol for engines; those of routed services speak another.
 func (b *Box) watchSetter() func(group string, engines []table.Endpoint) {
@@ -372,11 +391,9 @@
 // restingWait is how long connections without a request may take to end.
 const restingWait = 300 * time.Millisecond
 
-// leaveRouted makes the box known as leaving.
-func (b *Box) leaveRouted(ctx context.Context) {
-	if b.routed == nil {
-		return
+// leaveRouted tells callers that the box is leaving.
+func (b *Box) leaveRouted() {
+	if b.routed != nil {
+		b.routed.server.Leave()
 	}
-	b.routed.server.Leave()
-	b.routed.registry.Leave(ctx)
 }
--- a/coordination/discover/discover.go
+++ b/coordination/discover/discover.go
@@ -1,9 +1,8 @@
 // Copyright 2026 The Runridge Authors. All rights reserved.
 // SPDX-License-Identifier: MIT
 
-// Package discover keeps a box's directory of endpoints. A few boxes follow the
-// platform's list and tell the others; a box that has had no news for a second
-// follows the list itself.
+// Package discover keeps a box's directory of endpoints. A few boxes read the
+// platform's list and tell the others; state/cover decides which.
 package discover
 
 import (
@@ -27,8 +26,9 @@
 	// since comes with the first wait for changes.
 	Endpoints(ctx context.Context, mayBeOld bool) ([]directory.Entry, uint64, error)
 	// EndpointChanges waits for changes after a position, up to the context's
-	// end, and returns the position to go on from.
-	EndpointChanges(ctx context.Context, after uint64) ([]directory.Change, uint64, error)
+	// end, and returns the position to go on from. With atOnce it waits for
+	// nothing.
+	EndpointChanges(ctx context.Context, after uint64, atOnce bool) ([]directory.Change, uint64, error)
 }
 
 // Config configures a Discoverer.
@@ -65,6 +65,9 @@
 	listTimeout  = 10 * time.Second
 	firstPause   = 50 * time.Millisecond
 	longestPause = 500 * time.Millisecond
+	// longestLook is how soon a box that others read for sees that it has become
+	// a reader itself.
+	longestLook = 200 * time.Millisecond
 )
 
 // Discoverer is the duty.
@@ -88,7 +91,7 @@
 	if cfg.Keep <= 0 {
 		cfg.Keep = defaultKeep
 	}
-	return &Discoverer{cfg: cfg, outage: outage{heard: time.Now()}, shared: shared{seen: make(map[string]heard)}}
+	return &Discoverer{cfg: cfg, outage: outage{heard: time.Now()}, shared: newShared()}
 }
 
 // Directory is what is known now.
@@ -139,11 +142,16 @@
 	pauses.MaxInterval = longestPause
 	whole, lost := true, false
 	for ctx.Err() == nil {
-		if watch, left := d.watching(time.Now()); !watch {
-			pause.For(ctx, left)
+		// The first list is each box's own: it has to serve at once.
+		decided := d.decide(time.Now())
+		if !decided.Read && !whole {
+			pause.For(ctx, min(decided.Wait, longestLook))
 			continue
 		}
-		err := d.once(ctx, whole)
+		err := d.once(ctx, whole, !decided.Tell)
+		if err == nil && !whole {
+			d.noteRead(true)
+		}
 		switch {
 		case err == nil && whole:
 			// The list alone does not show that changes can be followed.
@@ -169,8 +177,9 @@
 			d.cfg.Log.WithError(err).Warn("endpoint_list_failed")
 			if !lost {
 				d.lost()
-				d.tell(d.lostNews())
 			}
+			d.tell(d.lostNews())
+			d.noteRead(false)
 			// All boxes that want a fresh list at once may be more than the
 			// platform takes.
 			lost, d.fresh = true, false
@@ -186,8 +195,9 @@
 	}
 }
 
-// once reads the whole list, or waits for changes.
-func (d *Discoverer) once(ctx context.Context, whole bool) error {
+// once reads the whole list, or the changes: those that there are at once, or
+// after a wait.
+func (d *Discoverer) once(ctx context.Context, whole, atOnce bool) error {
 	bound := d.cfg.Wait
 	if whole {
 		bound = listTimeout
@@ -207,7 +217,7 @@
 		return nil
 	}
 	after := d.Directory().At()
-	changes, at, err := d.cfg.Source.EndpointChanges(ctx, after)
+	changes, at, err := d.cfg.Source.EndpointChanges(ctx, after, atOnce)
 	if err != nil {
 		return err
 	}
--- a/coordination/discover/share.go
+++ b/coordination/discover/share.go
@@ -4,10 +4,12 @@
 package discover
 
 import (
+	"math/rand/v2"
 	"slices"
 	"time"
 
 	"runridge.example/runridge/modules/log"
+	"runridge.example/runridge/state/cover"
 	"runridge.example/runridge/state/directory"
 )
 
@@ -20,15 +22,9 @@
 }
 
 const (
-	// watchers is how many boxes, the first in rank, follow the platform's
-	// list for all.
-	watchers = 3
 	// fanout is how many boxes one passes news on to.
 	fanout = 8
-	// coverTime is how long news keeps a box from following the list itself:
-	// somewhat longer than the watchers' waits, each of which ends with news.
-	coverTime = 1100 * time.Millisecond
-	// rankKey orders the boxes for who watches.
+	// rankKey orders the boxes for who reads the platform.
 	rankKey = "endpoints"
 	// forgetNews is how long the number of a box's last news is remembered: long
 	// enough that news does not go in circles while boxes disagree on the tree,
@@ -47,49 +43,66 @@
 	// sequence numbers this box's own news.
 	sequence uint64
 	// seen is the last news of each other box.
-	seen map[string]heard
-	// covered is when the last news came that this directory fits to.
-	covered time.Time
-	// watched says whether this box followed the list when it last looked.
-	watched bool
+	seen  map[string]heard
+	cover cover.Cover
+	// decided is what this box last decided on reading the platform.
+	decided cover.Decision
 }
 
-// watcher says whether this box is one of those that follow the list for all.
-func (d *Discoverer) watcher() bool {
-	if d.cfg.Peers == nil {
-		return false
-	}
+func newShared() shared {
+	return shared{seen: make(map[string]heard), cover: cover.New(time.Now())}
+}
+
+// place is where a box stands in the order of those that read the platform.
+func (d *Discoverer) place(box string) cover.Place {
 	order := d.cfg.Ranked(rankKey)
-	return slices.Contains(order[:min(watchers, len(order))], d.cfg.Self)
+	return cover.Place{Rank: slices.Index(order, box), Boxes: len(order)}
+}
+
+// Reading says whether this box reads the platform itself.
+func (d *Discoverer) Reading() bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.shared.decided.Read
 }
 
-// watching says whether this box has to follow the list itself: it is one of
-// the watchers, or has had no news for too long. Left is for how long the last
-// news still spares it that.
-func (d *Discoverer) watching(now time.Time) (watch bool, left time.Duration) {
+// decide says whether this box has to read the platform itself.
+func (d *Discoverer) decide(now time.Time) cover.Decision {
 	if d.cfg.Peers == nil {
-		return true, 0
+		return cover.Decision{Read: true, Tell: true}
 	}
-	watcher := d.watcher()
+	place := d.place(d.cfg.Self)
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	left = coverTime - now.Sub(d.shared.covered)
-	watch = left <= 0 || watcher
-	if watch != d.shared.watched {
+	decided := d.shared.cover.Decide(now, place)
+	if decided.Read != d.shared.decided.Read {
 		d.cfg.Log.WithFields(log.Fields{
-			"watching": watch,
+			"watching": decided.Read,
 			"position": d.known.At(),
-			"age_ms":   now.Sub(d.shared.covered).Milliseconds(),
+			"rank":     place.Rank,
+			"boxes":    place.Boxes,
+			"lost":     d.shared.cover.Lost(now),
 		}).Info("endpoint_watch_changed")
 	}
-	d.shared.watched = watch
-	return watch, left
+	d.shared.decided = decided
+	return decided
 }
 
-// tell passes on what this box has read from the platform, if it is one of the
-// watchers.
+// noteRead takes in whether this box's own read of the platform worked.
+func (d *Discoverer) noteRead(worked bool) {
+	if d.cfg.Peers == nil {
+		return
+	}
+	place := d.place(d.cfg.Self)
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.shared.cover = d.shared.cover.WithRead(time.Now(), place, worked, rand.Float64())
+}
+
+// tell passes on what this box has read from the platform, if it reads it for
+// others too.
 func (d *Discoverer) tell(n directory.News) {
-	if !d.watcher() {
+	if d.cfg.Peers == nil || !d.decide(time.Now()).Tell {
 		return
 	}
 	d.mutex.Lock()
@@ -135,13 +148,34 @@
 		d.cfg.Peers.SendNewsPull(from)
 	}
 	if n.Lost {
-		d.lost()
+		d.noteLost(now)
 	}
-	if !answer {
+	if !answer && d.passes(now, n) {
 		d.pass(n)
 	}
 }
 
+// noteLost takes in that a reader has lost the platform. The first word of it
+// ends this box's own waits, which may wait in vain.
+func (d *Discoverer) noteLost(now time.Time) {
+	place := d.place(d.cfg.Self)
+	d.mutex.Lock()
+	first := !d.shared.cover.Lost(now)
+	d.shared.cover = d.shared.cover.WithLost(now, place, rand.Float64())
+	d.mutex.Unlock()
+	if first {
+		d.lost()
+	}
+}
+
+// passes says whether news goes on to the boxes after this one.
+func (d *Discoverer) passes(now time.Time, n directory.News) bool {
+	origin := d.place(n.Origin)
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.shared.cover.Passes(now, origin)
+}
+
 // unseen notes news and says whether it has not been here before.
 func (d *Discoverer) unseen(now time.Time, n directory.News) bool {
 	d.mutex.Lock()
@@ -157,10 +191,11 @@
 // take puts news that fits into force. News that is not older than what is
 // known here covers this box, unless it tells that the platform is lost.
 func (d *Discoverer) take(now time.Time, n directory.News) {
+	own, origin := d.place(d.cfg.Self), d.place(n.Origin)
 	d.mutex.Lock()
 	covers := n.At >= d.known.At() && !n.Lost
 	if covers {
-		d.shared.covered = now
+		d.shared.cover = d.shared.cover.WithWord(now, own, origin)
 	}
 	d.mutex.Unlock()
 	if covers {
--- a/coordination/follow/follow.go
+++ b/coordination/follow/follow.go
@@ -33,6 +33,9 @@
 // Platform is what following needs of the object API.
 type Platform interface {
 	Get(ctx context.Context, name string, after uint64) (adapter.Object, error)
+	// GetOld reads an object as it may have stood some seconds ago, which costs
+	// the platform less.
+	GetOld(ctx context.Context, name string) (adapter.Object, error)
 }
 
 // Peers passes tables between boxes. Calls must not block.
@@ -53,15 +56,14 @@
 	Ranked func(key string) []string
 	// Wait bounds one watch.
 	Wait time.Duration
-	// EveryBox makes every box watch the platform itself. Then a change is not
-	// passed on at once: a box that the platform does not reach asks for it
-	// when it hears of the generation.
-	EveryBox bool
+	// Reads says whether this box reads the platform itself once it has a table;
+	// nil leaves it to the first few boxes in rank.
+	Reads func() bool
 	// Settle bounds how long a starting box waits for the others' word before
 	// it puts its first table into force.
 	Settle time.Duration
-	// Fresh says that the platform's reads are never stale: the first table read
-	// is as new as any in force, so that nothing is waited for.
+	// Fresh puts the first table read into force without waiting for the others'
+	// word on it.
 	Fresh bool
 	Log   log.Logger
 }
@@ -76,7 +78,7 @@
 	// watchers is how many boxes watch the platform.
 	watchers = 3
 	// watchLook is how often a box looks whether it has become one of them.
-	watchLook = 500 * time.Millisecond
+	watchLook = 200 * time.Millisecond
 	// fanout is how many boxes one passes a change on to.
 	fanout = 8
 	// history is how many tables are kept to make changes from.
@@ -211,9 +213,6 @@
 // anew for each generation, so that no box carries all changes, and its root
 // gets the change from whoever watches the platform.
 func (f *Follower) pass(change table.Delta) {
-	if f.cfg.EveryBox {
-		return
-	}
 	order := f.cfg.Ranked(fmt.Sprintf("table@%d", change.Generation))
 	at := slices.Index(order, f.cfg.Self)
 	if at < 0 {
@@ -304,9 +303,12 @@
 	f.mutex.Lock()
 	none := f.table.Generation == 0
 	f.mutex.Unlock()
-	if none || f.cfg.EveryBox {
+	if none {
 		return true
 	}
+	if f.cfg.Reads != nil {
+		return f.cfg.Reads()
+	}
 	order := f.cfg.Ranked(ObjectName)
 	return slices.Contains(order[:min(watchers, len(order))], f.cfg.Self)
 }
@@ -322,6 +324,8 @@
 	version := uint64(0)
 	for ctx.Err() == nil {
 		if !f.watching() {
+			// What happened meanwhile came from others; the object is read anew.
+			version = 0
 			pause.For(ctx, watchLook)
 			continue
 		}
@@ -374,7 +378,7 @@
 	if version > 0 {
 		go f.endOnRefresh(call, cancel)
 	}
-	o, err := f.cfg.Platform.Get(call, ObjectName, version)
+	o, err := f.get(call, version)
 	if errors.Is(call.Err(), context.Canceled) && ctx.Err() == nil {
 		return version, errRefresh
 	}
@@ -409,6 +413,16 @@
 	return next, nil
 }
 
+// get reads the object, or waits for a newer version. A box without a table
+// takes one that may be old: a newer generation is asked for as soon as another
+// box names it, and a box that reads the platform itself goes on from there.
+func (f *Follower) get(ctx context.Context, version uint64) (adapter.Object, error) {
+	if version == 0 && f.cfg.Fresh && f.Table().Generation == 0 {
+		return f.cfg.Platform.GetOld(ctx, ObjectName)
+	}
+	return f.cfg.Platform.Get(ctx, ObjectName, version)
+}
+
 // Decode reads the table from its object. The object's version is the table's
 // generation: the platform makes it grow with each accepted write.
 func Decode(o adapter.Object) (table.Table, error) {
--- a/coordination/member/member.go
+++ b/coordination/member/member.go
@@ -211,6 +211,7 @@
 func (m *Members) poll(ctx context.Context) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	known := 0
 	for {
 		select {
 		case <-ctx.Done():
@@ -226,6 +227,7 @@
 		case err != nil:
 			m.cfg.Log.WithError(err).Warn("box_list_failed")
 		default:
+			known = len(list)
 			select {
 			case m.lists <- list:
 			case <-ctx.Done():
@@ -233,7 +235,7 @@
 			}
 		}
 		// All boxes together read the list at the rate of a small fleet.
-		timer.Reset(m.cfg.Poll * time.Duration(1+len(list)/pollFleet))
+		timer.Reset(m.cfg.Poll * time.Duration(1+known/pollFleet))
 	}
 }
 
--- a/coordination/registry/registry.go
+++ b/coordination/registry/registry.go
@@ -2,8 +2,9 @@
 // SPDX-License-Identifier: MIT
 
 // Package registry keeps the platform's list of boxes true: this box is on it
-// while it runs, and boxes that died without taking themselves off are taken
-// off by one of the others.
+// while it runs, and boxes that have been gone for long are taken off by one of
+// the others. A box that stops leaves its entry, which it finds again if it
+// only restarts.
 package registry
 
 import (
@@ -52,6 +53,10 @@
 	// lacks it: the list lags.
 	deadFor   = 20 * time.Second
 	joinedFor = 10 * time.Second
+	// firstList bounds the wait for the first reading of the list, and listLook is
+	// how often it is looked for.
+	firstList = time.Second
+	listLook  = 50 * time.Millisecond
 	// rankKey orders the boxes for who takes dead ones off.
 	rankKey = "registry"
 )
@@ -71,7 +76,9 @@
 
 // Run keeps the list true until the context ends.
 func (k *Keeper) Run(ctx context.Context) error {
-	k.join(ctx)
+	if !k.standsListed(ctx) {
+		k.join(ctx)
+	}
 	ticker := time.NewTicker(lookEvery)
 	defer ticker.Stop()
 	for {
@@ -84,6 +91,20 @@
 	}
 }
 
+// standsListed waits for the first reading of the list and says whether this
+// box's entry stands on it as it is. It does after a restart: a rolling restart
+// of all boxes would otherwise cost the platform two writes for each.
+func (k *Keeper) standsListed(ctx context.Context) bool {
+	for waited := time.Duration(0); waited < firstList && ctx.Err() == nil; waited += listLook {
+		if listed := k.cfg.Members().Listed; listed != nil {
+			entry, found := listed[k.cfg.Self.Name]
+			return found && entry.Address == k.cfg.Self.Address && entry.Zone == k.cfg.Self.Zone
+		}
+		pause.For(ctx, listLook)
+	}
+	return false
+}
+
 // join puts this box on the list and keeps trying until it is.
 func (k *Keeper) join(ctx context.Context) {
 	pauses := backoff.NewExponentialBackOff()
@@ -156,12 +177,3 @@
 		k.cfg.Log.WithFields(fields).WithError(err).Info("dead_box_unregister_failed")
 	}
 }
-
-// Leave takes this box off the list.
-func (k *Keeper) Leave(ctx context.Context) {
-	call, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	if err := k.cfg.Platform.Remove(call, k.cfg.Self.Name, 0); err != nil {
-		k.cfg.Log.WithFields(log.Fields{"step": "remove"}).WithError(err).Info("box_register_failed")
-	}
-}
--- a/coordination/registry/registry_test.go
+++ b/coordination/registry/registry_test.go
@@ -115,6 +115,13 @@
 		"not on the list":     {listed: map[string]adapter.Box{"b": {Name: "b"}}, joins: 3},
 		"on the list":         {listed: map[string]adapter.Box{"a": {Name: "a"}}, joins: 1},
 		"list never read yet": {joins: 1},
+		"there since before the start": {
+			listed: map[string]adapter.Box{"a": {Name: "a", Address: "a"}},
+		},
+		"there with another address": {
+			listed: map[string]adapter.Box{"a": {Name: "a", Address: "elsewhere"}},
+			joins:  1,
+		},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/tests/routed/site_test.go
+++ b/tests/routed/site_test.go
@@ -139,6 +139,13 @@
 	}
 }
 
+// left says whether a box knows that an endpoint gets nothing more. One answer
+// from another endpoint does not show it: they take turns.
+func (b *running) left(id string) bool {
+	word, known := b.Directory().Word(id)
+	return known && !word.Usable()
+}
+
 // configuration has one route of each kind; later versions add a route.
 func configuration(version int) map[string]any {
 	route := func(name, kind, service string, more map[string]any) map[string]any {
--- a/transport/platformhttp/platformhttp.go
+++ b/transport/platformhttp/platformhttp.go
@@ -61,6 +61,11 @@
 	return adapter.Object{Version: o.Version, Value: o.Value}, err
 }
 
+// GetOld reads an object; the product's own platform has only one kind of read.
+func (c *Client) GetOld(ctx context.Context, name string) (adapter.Object, error) {
+	return c.Get(ctx, name, 0)
+}
+
 // Put writes an object if its version is still the given one.
 func (c *Client) Put(ctx context.Context, name string, version uint64, value []byte) (uint64, error) {
 	query := url.Values{platformapi.QueryVersion: {strconv.FormatUint(version, 10)}}
