Tests: a caller that leaves ends its work at every stage

Cause: the test of callers who leave had a plain request at work only. Conclusion: no change of the product.

--- a/tests/routed/routed_test.go
+++ b/tests/routed/routed_test.go
@@ -5,7 +5,6 @@
 
 import (
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -256,17 +255,52 @@
 }
 
 func TestCallerGone(t *testing.T) {
-	convey.Convey("Work ends when the caller has gone", t, func() {
+	cases := map[string]struct {
+		ends []standin.EndpointConfig
+		path string
+		// hangs is the endpoint that does not answer, and spared one that gets
+		// nothing of the request.
+		hangs, spared string
+	}{
+		"a plain request runs":    {ends: plainEnds()[:1], path: "/long/x", hangs: "p1"},
+		"the prompt is prefilled": {ends: modelEnds()[:2], path: "/stream/x", hangs: "pre1", spared: "dec1"},
+		"the stream is to begin":  {ends: modelEnds()[:2], path: "/stream/x", hangs: "dec1"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			convey.Convey("Work ends when the caller has gone", t, func() {
+				s := newSite(t, 1, c.ends...)
+				s.ends[c.hangs].Behave(standin.Hanging)
+				leaver := s.ask(s.boxes[0], c.path, "leaver")
+				s.eventually("the request is at the endpoint", func() bool { return s.ends[c.hangs].Sends() == 1 })
+				convey.So(leaver.Close(), convey.ShouldBeNil)
+				s.eventually("its work has ended", func() bool { return s.ends[c.hangs].Ended() == 1 })
+				s.eventually("the box is done with it", func() bool { return s.boxes[0].Active() == 0 })
+				convey.So(s.ends[c.hangs].Sends(), convey.ShouldEqual, 1)
+				if c.spared != "" {
+					convey.So(s.ends[c.spared].Sends(), convey.ShouldEqual, 0)
+				}
+			})
+		})
+	}
+	convey.Convey("A caller that leaves while it waits for a slot is never sent to an endpoint", t, func() {
+		const slots = 8
 		s := newSite(t, 1, plainEnds()[:1]...)
 		s.ends["p1"].Behave(standin.Hanging)
-		c, err := net.Dial("tcp", s.boxes[0].caller)
-		convey.So(err, convey.ShouldBeNil)
-		_, err = io.WriteString(c, "GET /long/x HTTP/1.1\r\nHost: "+host+"\r\nX-Request-Id: leaver\r\n\r\n")
-		convey.So(err, convey.ShouldBeNil)
-		s.eventually("the request runs", func() bool { return s.runs("leaver") == 1 })
-		convey.So(c.Close(), convey.ShouldBeNil)
-		s.eventually("its run has ended", func() bool { return s.ends["p1"].Ended() == 1 })
-		convey.So(s.runs("leaver"), convey.ShouldEqual, 1)
+		var busy []net.Conn
+		for i := range slots {
+			busy = append(busy, s.ask(s.boxes[0], "/long/x", fmt.Sprintf("busy-%d", i)))
+		}
+		s.eventually("all slots are taken", func() bool { return s.ends["p1"].Sends() == slots })
+		leaver := s.ask(s.boxes[0], "/long/x", "leaver")
+		s.eventually("it waits", func() bool { return s.boxes[0].Active() == slots+1 })
+		convey.So(leaver.Close(), convey.ShouldBeNil)
+		s.eventually("the box is done with it", func() bool { return s.boxes[0].Active() == slots })
+		for _, c := range busy {
+			convey.So(c.Close(), convey.ShouldBeNil)
+		}
+		s.eventually("the others have ended", func() bool { return s.ends["p1"].Ended() == slots })
+		convey.So(s.runs("leaver"), convey.ShouldEqual, 0)
 	})
 }
 
--- a/tests/routed/site_test.go
+++ b/tests/routed/site_test.go
@@ -236,6 +236,20 @@
 	return answer{status: resp.StatusCode, header: resp.Header, body: string(data), whole: err == nil, id: id}
 }
 
+// ask sends a request on a new connection and does not wait for the answer.
+func (s *site) ask(b *running, path, id string) net.Conn {
+	s.t.Helper()
+	c, err := net.Dial("tcp", b.caller)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	const form = "GET %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Token-Usage: 100,20\r\n\r\n"
+	if _, err := fmt.Fprintf(c, form, path, host, id); err != nil {
+		s.t.Fatal(err)
+	}
+	return c
+}
+
 // raw sends bytes as they are and reads one answer.
 func (s *site) raw(b *running, text string) answer {
 	s.t.Helper()
