Changes of the table are compressed between boxes, and asked for after a wait

Change: deltas are compressed; a box that hears of a newer generation asks after 0.3 s, every 0.5 s.

--- a/box/wire.go
+++ b/box/wire.go
@@ -4,7 +4,6 @@
 package box
 
 import (
-	"encoding/json"
 	"fmt"
 	"time"
 
@@ -46,14 +45,16 @@
 	return p.net.Send(box, &boxwire.Member{Message: m, Generation: p.generation()})
 }
 
-// SendChange sends a change of the table to another box.
-func (p peers) SendChange(to string, d table.Delta) {
-	data, err := json.Marshal(d)
+// SendChange sends a change of the table to other boxes.
+func (p peers) SendChange(d table.Delta, to ...string) {
+	data, err := packDelta(d)
 	if err != nil {
 		panic(err)
 	}
-	// A change that is lost is noticed by the generation of the next message.
-	_ = p.net.Send(to, &boxwire.Change{Delta: data})
+	for _, box := range to {
+		// A change that is lost is noticed by the generation of the next message.
+		_ = p.net.Send(box, &boxwire.Change{Delta: data})
+	}
 }
 
 // SendPull asks another box for what came after a generation.
@@ -74,8 +75,8 @@
 
 // receiveChange reads a change of the table.
 func (b *Box) receiveChange(from string, m *boxwire.Change) {
-	var d table.Delta
-	if err := json.Unmarshal(m.Delta, &d); err != nil {
+	d, err := unpackDelta(m.Delta)
+	if err != nil {
 		b.options.Log.WithFields(log.Fields{"peer": from}).WithError(err).Warn("change_bad")
 		return
 	}
--- a/coordination/follow/follow.go
+++ b/coordination/follow/follow.go
@@ -40,8 +40,8 @@
 
 // Peers passes tables between boxes. Calls must not block.
 type Peers interface {
-	// SendChange sends a change to a box.
-	SendChange(to string, d table.Delta)
+	// SendChange sends a change to some boxes.
+	SendChange(d table.Delta, to ...string)
 	// SendPull asks a box for what came after a generation.
 	SendPull(to string, have uint64)
 }
@@ -83,8 +83,12 @@
 	fanout = 8
 	// history is how many tables are kept to make changes from.
 	history = 8
-	// pullPause keeps one lag from being asked about with every message.
-	pullPause = 200 * time.Millisecond
+	// pullPause keeps one lag from being asked about with every message, and
+	// pullGrace is how long a box that hears of a newer table waits for it to come
+	// along the tree: 1,360 routes added at once came to each of 295 boxes several
+	// times, and held up the boxes' other messages for a second.
+	pullPause = 500 * time.Millisecond
+	pullGrace = 300 * time.Millisecond
 )
 
 // Follower holds the table in force.
@@ -101,7 +105,9 @@
 	pending table.Table
 	open    bool
 	// others is the highest generation that another box has named.
-	others   uint64
+	others uint64
+	// behind is since when this box has known of a newer table than its own.
+	behind   time.Time
 	pulled   time.Time
 	rejected uint64
 	// refresh ends the wait under way; the object is read anew.
@@ -218,11 +224,14 @@
 	if at < 0 {
 		return
 	}
+	var to []string
 	if at > 0 && f.watching() {
-		f.cfg.Peers.SendChange(order[0], change)
+		to = append(to, order[0])
 	}
-	for child := at*fanout + 1; child <= at*fanout+fanout && child < len(order); child++ {
-		f.cfg.Peers.SendChange(order[child], change)
+	first := min(at*fanout+1, len(order))
+	to = append(to, order[first:min(first+fanout, len(order))]...)
+	if len(to) > 0 {
+		f.cfg.Peers.SendChange(change, to...)
 	}
 }
 
@@ -256,7 +265,7 @@
 	}
 	f.mutex.Unlock()
 	if current.Generation > have {
-		f.cfg.Peers.SendChange(from, change)
+		f.cfg.Peers.SendChange(change, from)
 	}
 }
 
@@ -267,7 +276,14 @@
 	f.others = max(f.others, generation)
 	have := max(f.table.Generation, f.pending.Generation)
 	now := time.Now()
-	ask := generation > have && now.Sub(f.pulled) >= pullPause
+	switch {
+	case f.others <= have:
+		f.behind = time.Time{}
+	case f.behind.IsZero():
+		f.behind = now
+	}
+	waited := have == 0 || now.Sub(f.behind) >= pullGrace
+	ask := generation > have && waited && now.Sub(f.pulled) >= pullPause
 	if ask {
 		f.pulled = now
 	}
--- a/coordination/follow/follow_test.go
+++ b/coordination/follow/follow_test.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/smartystreets/goconvey/convey"
@@ -56,8 +57,8 @@
 // silentPeers are other boxes that say nothing.
 type silentPeers struct{}
 
-func (silentPeers) SendChange(string, table.Delta) {}
-func (silentPeers) SendPull(string, uint64)        {}
+func (silentPeers) SendChange(table.Delta, ...string) {}
+func (silentPeers) SendPull(string, uint64)           {}
 
 func object(t *testing.T, generation uint64) adapter.Object {
 	t.Helper()
@@ -166,3 +167,47 @@
 		})
 	}
 }
+
+// pulls counts the questions that a box asks.
+type pulls struct {
+	silentPeers
+	asked *int
+}
+
+func (p pulls) SendPull(string, uint64) { *p.asked++ }
+
+func TestNewerTablesAreAskedFor(t *testing.T) {
+	cases := map[string]struct {
+		have uint64
+		// heard is the generation that others name each 100 ms, comes whether it
+		// comes along the tree after 200 ms.
+		heard uint64
+		comes bool
+		want  int
+	}{
+		"a box without a table asks at once":           {heard: 5, want: 1},
+		"one that the tree reaches in time never asks": {have: 4, heard: 5, comes: true},
+		"one that it does not reach asks after a wait": {have: 4, heard: 5, want: 1},
+		"nothing newer": {have: 5, heard: 5},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				asked := 0
+				f := New(Config{Self: "box-1", Peers: pulls{asked: &asked}, Ranked: func(string) []string { return nil }, Log: log.Discard()})
+				f.open = true
+				f.Offer(table.Table{Generation: c.have})
+				for k := range 5 {
+					if c.comes && k == 2 {
+						f.Offer(table.Table{Generation: c.heard})
+					}
+					f.Heard("box-2", c.heard)
+					time.Sleep(100 * time.Millisecond)
+				}
+				if asked != c.want {
+					t.Errorf("asked %d times, want %d", asked, c.want)
+				}
+			})
+		})
+	}
+}
--- a/protocol/boxwire/boxwire.go
+++ b/protocol/boxwire/boxwire.go
@@ -90,7 +90,7 @@
 	Generation uint64
 }
 
-// Change carries a change of the table, as JSON: it is read by people in
+// Change carries a change of the table, as compressed JSON: it is read by people in
 // traces, and a table is JSON everywhere else.
 type Change struct {
 	Delta []byte
