--- a/coordination/home/home.go
+++ b/coordination/home/home.go
@@ -420,6 +420,7 @@
 			"group":         group,
 			"for_ms":        e.For.Milliseconds(),
 			"unreached":     e.Unreached,
+			"results_lost":  e.ResultsLost,
 			"others_out":    e.OthersOut,
 			"others":        e.Others,
 		}).Info("engine_ejected")
--- a/state/health/health.go
+++ b/state/health/health.go
@@ -51,6 +51,9 @@
 	return max(b.outUntil.Sub(now), 0)
 }
 
+// Suspect says whether the endpoint was ejected and has not done well since.
+func (b Breaker) Suspect() bool { return b.ejections > 0 }
+
 // Trial says whether the next request is the one that tests the endpoint.
 func (b Breaker) Trial(now time.Time) bool {
 	return b.ejections > 0 && !b.trying && !now.Before(b.outUntil)
--- a/state/schedule/group.go
+++ b/state/schedule/group.go
@@ -36,6 +36,9 @@
 type engine struct {
 	spec    EngineSpec
 	breaker health.Breaker
+	// results is the health of its prefill results: an engine may read prompts
+	// well and not keep what it has read.
+	results health.Breaker
 	// prefills are the grants whose prefill is not done, in order.
 	prefills []lifecycle.AttemptID
 	prefill  estimate.Factor
--- a/state/schedule/learn.go
+++ b/state/schedule/learn.go
@@ -85,6 +85,8 @@
 // learn takes in what a report says of times and failures.
 func (g *Group) learn(now time.Time, gr *grant, r Report) {
 	switch {
+	case r.Failed != "" && r.Full && g.resultLost(gr):
+		g.noteResultLost(now, gr)
 	case r.Failed != "" && r.Full && g.cfg.Growing:
 		g.noteFull(sinceStart(g.start, now), gr, r.Failed)
 	case r.Failed != "":
@@ -96,6 +98,9 @@
 	}
 	e := &g.engines[gr.decode]
 	e.breaker = e.breaker.WithSuccess()
+	if gr.prefill != none {
+		g.engines[gr.prefill].results = g.engines[gr.prefill].results.WithSuccess()
+	}
 	if g.cfg.Policy.NoLearning {
 		return
 	}
--- a/state/schedule/types.go
+++ b/state/schedule/types.go
@@ -246,6 +246,8 @@
 	For    time.Duration
 	// Unreached says that no connection to it could be made.
 	Unreached bool
+	// ResultsLost says that it only gets no prefills, as its results were lost.
+	ResultsLost bool
 	// OthersOut is how many of the Others of its role were out already.
 	OthersOut, Others int
 }
