Requests that cannot be in time stand behind those that can

Cause: callers who had been refused in a rush came back in it, counted as new and took places from others; plain requests waited in one line up to their time-out, so that nearly all of a rush came late. The protocol between boxes has two more fields of an ask.

--- a/coordination/home/home.go
+++ b/coordination/home/home.go
@@ -79,10 +79,14 @@
 const (
 	// tickEvery is how often waiting requests are looked at again.
 	tickEvery = 5 * time.Millisecond
-	// checkEvery is how often boxes are asked about grants that are oldGrant
-	// old: a report that was lost must not keep a slot forever.
-	checkEvery = 2 * time.Second
+	// checkEvery is how often boxes are asked about old grants: a report that was
+	// lost must not keep a slot forever. Those of model requests are old at
+	// oldGrant, longer than most answers take; those of plain ones at oldPlain,
+	// some ten times what they take: where homes moved to and fro, a third of an
+	// overloaded service's slots was lost for six seconds.
+	checkEvery = time.Second
 	oldGrant   = 5 * time.Second
+	oldPlain   = time.Second
 	// defaultQueue is used where the config says 0.
 	defaultQueue = 4096
 )
@@ -181,7 +185,7 @@
 		case <-h.live.C():
 			h.retire()
 		case <-h.paused.C():
-			h.check(0)
+			h.check(0, 0)
 		case <-tick.C:
 			h.tick()
 		}
@@ -284,6 +288,7 @@
 		AccountWeight: func(name string) int { return weights[name].Weight },
 		AccountLimit:  func(name string) int { return weights[name].MaxInFlight },
 		Growing:       s.Engine != nil,
+		Plain:         s.Kind == table.KindPlain,
 		Policy:        h.cfg.Policy,
 		Health:        h.cfg.Health,
 		Seed:          h.cfg.Seed + xxhash.Sum64String(spec.Key),
@@ -442,6 +447,8 @@
 		"left_ms":           r.Seen.Left.Milliseconds(),
 		"retry_ms":          r.RetryAfter.Milliseconds(),
 		"spill":             r.Ask.Spill,
+		"late":              r.Ask.Late,
+		"age_ms":            r.Ask.Waited.Milliseconds(),
 	}).Info("home_refused")
 }
 
@@ -466,14 +473,19 @@
 	}
 	if now.Sub(h.checked) >= checkEvery {
 		h.checked = now
-		h.check(oldGrant)
+		h.check(oldGrant, oldPlain)
 	}
 }
 
-// check asks the boxes about grants of at least that age.
-func (h *Homes) check(age time.Duration) {
+// check asks the boxes about grants of at least an age, that of model requests
+// or that of plain ones.
+func (h *Homes) check(model, plain time.Duration) {
 	now := time.Now()
 	for key, g := range h.groups {
+		age := model
+		if g.Plain() {
+			age = plain
+		}
 		for box, ids := range g.Old(now, age) {
 			h.cfg.Answers.Check(box, key, "", ids)
 		}
--- a/coordination/relay/question.go
+++ b/coordination/relay/question.go
@@ -124,7 +124,7 @@
 	}
 	box := boxes[rank%len(boxes)]
 	v.setHome(box)
-	a.Waited = v.r.cfg.Now().Sub(v.q.Arrived)
+	a.Waited = v.age + v.r.cfg.Now().Sub(v.q.Arrived)
 	if v.r.cfg.Homes.Tell(box, v.group, a) == ring.Full {
 		return fullPause
 	}
--- a/coordination/relay/record.go
+++ b/coordination/relay/record.go
@@ -33,6 +33,8 @@
 		fields["gap_target_ms"] = v.route.GapMS
 		fields["prefill"], fields["decode"] = v.plan.Prefill, v.plan.Decode
 		fields["alone"] = v.alone
+		fields["age_ms"] = v.age.Milliseconds()
+		fields["late"] = v.late
 	}
 	if !v.firstAt.IsZero() {
 		fields["first_ms"] = v.firstAt.Sub(v.q.Arrived).Milliseconds()
--- a/coordination/relay/refuse.go
+++ b/coordination/relay/refuse.go
@@ -21,17 +21,49 @@
 // maxSpills is how many other groups are asked when one has no room.
 const maxSpills = 2
 
-// spills notes a refusal and says whether another group is asked.
+// spills notes a refusal and says whether another question follows: to another
+// group or, where none has room in time, to the first one for what is left by
+// others.
 func (v *run) spills(res result) bool {
-	if !res.noRoom {
+	if !res.noRoom || v.last {
 		return false
 	}
 	v.refusals = append(v.refusals, refusal{group: v.group, retryAfter: res.retryAfter})
-	return len(v.refusals) <= maxSpills && v.chooseGroup() != ""
+	if len(v.refusals) <= maxSpills && v.chooseGroup() != "" {
+		return true
+	}
+	if v.late || !v.mayBeLate() {
+		return false
+	}
+	v.late, v.last = true, true
+	return true
 }
 
-// chooseGroup is the group that is asked next: none of those that have no room.
+// mayBeLate says whether the request may be served late: the route has a target,
+// it is known how long the caller waits, and it has nothing of the answer yet.
+func (v *run) mayBeLate() bool {
+	if v.route.TargetMS <= 0 || v.q.LastEvent != "" || v.begun {
+		return false
+	}
+	return !v.route.Stream() || v.route.GiveUpMS > 0
+}
+
+// giveUp is how much longer the caller waits for the answer or its first event.
+func (v *run) giveUp() time.Duration {
+	now := v.r.cfg.Now()
+	left := v.deadline.Sub(now)
+	if v.route.Stream() {
+		left = min(left, v.route.GiveUp()-now.Sub(v.q.Arrived))
+	}
+	return left
+}
+
+// chooseGroup is the group that is asked next: none of those that have no room,
+// but the first one again for the last question.
 func (v *run) chooseGroup() string {
+	if v.last {
+		return v.refusals[0].group
+	}
 	full := make([]string, 0, len(v.refusals))
 	for _, f := range v.refusals {
 		full = append(full, f.group)
--- a/coordination/relay/relay.go
+++ b/coordination/relay/relay.go
@@ -17,6 +17,7 @@
 	"runridge.example/runridge/modules/metric"
 	"runridge.example/runridge/modules/ring"
 	"runridge.example/runridge/state/directory"
+	"runridge.example/runridge/state/estimate"
 	"runridge.example/runridge/state/lifecycle"
 	"runridge.example/runridge/state/retry"
 	"runridge.example/runridge/state/route"
@@ -82,6 +83,8 @@
 	table   table.Table
 	runs    map[lifecycle.RequestID]*run
 	budgets map[string]retry.Budget
+	// waits is the longest time that callers of each route say they will wait.
+	waits map[string]estimate.Longest
 }
 
 // New makes a relay.
@@ -94,6 +97,7 @@
 		started: cfg.Now(),
 		runs:    make(map[lifecycle.RequestID]*run),
 		budgets: make(map[string]retry.Budget),
+		waits:   make(map[string]estimate.Longest),
 	}
 }
 
@@ -193,6 +197,19 @@
 	r.budgets[service] = r.budgets[service].WithRequest(r.uptime())
 }
 
+// noteWait takes in how long a caller of a route will wait, and returns how long
+// ago the caller first tried: one that comes back waits for what is left of the
+// time that it gave itself, which is as long as others' on the route.
+func (r *Relay) noteWait(route string, wait time.Duration) time.Duration {
+	if wait <= 0 {
+		return 0
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.waits[route] = r.waits[route].With(r.uptime(), wait)
+	return r.waits[route].Value() - wait
+}
+
 // uptime is how long the box has run, by the steady clock.
 func (r *Relay) uptime() time.Duration { return r.cfg.Now().Sub(r.started) }
 
--- a/coordination/relay/run.go
+++ b/coordination/relay/run.go
@@ -79,6 +79,14 @@
 	alone bool
 	// reason is what ended or failed the latest attempt.
 	reason string
+	// age is how long before its arrival the caller first tried, as far as the
+	// time that it has left shows.
+	age time.Duration
+	// late says that the request cannot meet its target any more.
+	late bool
+	// last says that no group has room in time, and that the first one is asked
+	// for what others leave.
+	last bool
 	// refusals are the homes' refusals of this request for want of room, the
 	// one of its own group first.
 	refusals []refusal
@@ -153,6 +161,8 @@
 	if v.q.Wait > 0 && v.q.Wait < found.Timeout() {
 		v.deadline = v.q.Arrived.Add(v.q.Wait)
 	}
+	v.age = v.r.noteWait(found.Name, v.q.Wait)
+	v.late = v.age >= found.Target() && v.mayBeLate()
 	ctx, cancel := context.WithDeadlineCause(ctx, v.deadline, errTimeout)
 	defer cancel()
 	defer v.free()
@@ -276,14 +286,19 @@
 		Resume:   v.begun || v.q.LastEvent != "",
 		Avoid:    slices.Clone(v.avoid),
 	}
+	a.Patience = v.patience()
+	a.Late = v.late
+	a.GiveUp = v.giveUp()
+	a.Spill = len(v.refusals) > 0 && !v.last
 	if v.service.Engine == nil {
 		a.Deadline = v.deadline.Sub(v.q.Arrived)
+		if target := v.route.Target(); target > 0 {
+			a.Deadline = min(a.Deadline, target)
+		}
 		return a
 	}
 	a.Kept = v.keptBy()
 	a.Resume = a.Resume || a.Kept != ""
-	a.Patience = v.patience()
-	a.Spill = len(v.refusals) > 0
 	a.PromptTokens = v.q.Prompt.Tokens
 	a.OutputTokens = v.q.Prompt.Output
 	if hint := v.q.Prompt.Hint; hint > 0 && (a.OutputTokens == 0 || hint < a.OutputTokens) {
--- a/protocol/boxwire/group.go
+++ b/protocol/boxwire/group.go
@@ -70,6 +70,8 @@
 	Kept       Ref
 	PatienceMS int64
 	Spill      bool
+	Late       bool
+	GiveUpMS   int64
 }
 
 // Grant admits an ask.
@@ -189,6 +191,8 @@
 		Kept:         RefOf(a.Kept),
 		PatienceMS:   a.Patience.Milliseconds(),
 		Spill:        a.Spill,
+		Late:         a.Late,
+		GiveUpMS:     a.GiveUp.Milliseconds(),
 	}
 	for _, hash := range a.Marks {
 		m.Marks = append(m.Marks, uint32(hash))
@@ -223,6 +227,8 @@
 		Kept:         kept,
 		Patience:     time.Duration(a.PatienceMS) * time.Millisecond,
 		Spill:        a.Spill,
+		Late:         a.Late,
+		GiveUp:       time.Duration(a.GiveUpMS) * time.Millisecond,
 	}
 	for i, hash := range a.Marks {
 		out.Marks = append(out.Marks, uint64(hash))
--- a/state/schedule/group.go
+++ b/state/schedule/group.go
@@ -109,10 +109,13 @@
 	// zoneUse is the work that each zone was granted, decayed.
 	zoneUse []usage
 	// asks counts first asks, decayed slowly; returns is when the next refused
-	// caller is told to come again, and spread places those beyond that line.
-	asks    usage
-	returns int64
-	spread  float64
+	// caller is told to come again.
+	asks usage
+	// recentAsks counts the same, decayed as fast as releases.
+	recentAsks usage
+	returns    int64
+	// serviceNS is the mean time for which a plain request holds its slot.
+	serviceNS float64
 	// releases counts decode slots that came free, decayed.
 	releases usage
 	turn     int
@@ -308,8 +311,9 @@
 		return g.baseline(now, a)
 	}
 	t := sinceStart(g.start, now)
-	if !a.Resume && !a.Spill {
+	if !a.Resume && !a.Spill && !a.Late {
 		g.asks = g.asks.plus(t, 1, asksHalfLife)
+		g.recentAsks = g.recentAsks.plus(t, 1, releaseHalfLife)
 	}
 	g.usual = g.usual.with(a)
 	w := g.waiter(a, t)
@@ -393,6 +397,9 @@
 	return g.pump(now)
 }
 
+// Plain says whether the group's requests are plain ones.
+func (g *Group) Plain() bool { return g.cfg.Plain }
+
 // Waiting and Granted count what the group holds.
 func (g *Group) Waiting() int { return len(g.waiting) }
 
--- /dev/null
+++ b/state/schedule/late_test.go
@@ -0,0 +1,167 @@
+// Copyright 2026 The Runridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package schedule
+
+import (
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+)
+
+// lateAsk is a late request whose caller waits for three seconds more.
+func lateAsk(n uint64) Ask {
+	a := askOf(n, 1000, 1000)
+	a.Late, a.GiveUp, a.Waited = true, 3*time.Second, 4*time.Second
+	return a
+}
+
+// kindOf names a decision on an ask among others; empty if there is none.
+func kindOf(decisions []Decision, a Ask) string {
+	for _, d := range decisions {
+		if Asked(d).ID != a.ID {
+			continue
+		}
+		switch d.(type) {
+		case Grant:
+			return "grant"
+		case Refuse:
+			return "refuse"
+		case Queued:
+			return "queue"
+		}
+	}
+	return ""
+}
+
+// rates sets how many requests in time are asked for, and how many places come
+// free, a second.
+func rates(g *Group, at time.Time, asks, releases float64) {
+	t := sinceStart(g.start, at)
+	perNS := func(rate float64) usage {
+		return usage{at: t}.plus(t, rate*releaseHalfLife/float64(time.Second)/0.693, releaseHalfLife)
+	}
+	g.recentAsks, g.releases = perNS(asks), perNS(releases)
+}
+
+func TestLateRequests(t *testing.T) {
+	const second = time.Second
+	cases := map[string]struct {
+		engines int
+		// taken is how many requests run already.
+		taken          uint64
+		asks, releases float64
+		giveUp         time.Duration
+		want           string
+	}{
+		"an idle group":                                      {engines: 2, giveUp: 3 * second, want: "grant"},
+		"room while much is asked for in time":               {engines: 2, asks: 100, releases: 100, giveUp: 3 * second, want: "grant"},
+		"full, and more is asked for than comes free":        {engines: 1, taken: 8, asks: 10, releases: 5, giveUp: 3 * second, want: "refuse"},
+		"full, and more comes free than is asked for":        {engines: 1, taken: 8, asks: 2, releases: 8, giveUp: 3 * second, want: "queue"},
+		"full, and what is left comes after it has given up": {engines: 1, taken: 8, asks: 2, releases: 2.1, giveUp: 3 * second, want: "refuse"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := growing(c.engines, 10_000)
+			admitted(g, c.taken, start)
+			now := start.Add(200 * time.Millisecond)
+			rates(g, now, c.asks, c.releases)
+			a := lateAsk(100)
+			a.GiveUp = c.giveUp
+			if got := kindOf(g.Ask(now, a), a); got != c.want {
+				t.Errorf("decision: %q, want %q", got, c.want)
+			}
+		})
+	}
+}
+
+func TestLateBehindOthers(t *testing.T) {
+	convey.Convey("A place that comes free goes to a request in time that came after a late one", t, func() {
+		g := growing(1, 10_000)
+		admitted(g, 4, start)
+		now := start.Add(50 * time.Millisecond)
+		rates(g, now, 1, 50)
+		late, urgent := lateAsk(100), askOf(101, 1000, 1000)
+		convey.So(kindOf(g.Ask(now, late), late), convey.ShouldEqual, "queue")
+		urgent.Priority, urgent.Deadline = -3, 4*time.Second
+		convey.So(kindOf(g.Ask(now, urgent), urgent), convey.ShouldEqual, "queue")
+		out := g.Done(now.Add(time.Millisecond), Report{ID: askOf(0, 0, 0).ID, Finished: true})
+		convey.So(kindOf(out, urgent), convey.ShouldEqual, "grant")
+		convey.So(kindOf(out, late), convey.ShouldBeEmpty)
+	})
+	convey.Convey("A late request that waits is refused once its caller will have given up", t, func() {
+		g := growing(1, 10_000)
+		admitted(g, 4, start)
+		now := start.Add(50 * time.Millisecond)
+		rates(g, now, 1, 50)
+		late := lateAsk(100)
+		late.GiveUp = 2 * time.Second
+		convey.So(kindOf(g.Ask(now, late), late), convey.ShouldEqual, "queue")
+		convey.So(kindOf(g.Tick(now.Add(time.Second)), late), convey.ShouldBeEmpty)
+		convey.So(kindOf(g.Tick(now.Add(2*time.Second)), late), convey.ShouldEqual, "refuse")
+	})
+	convey.Convey("Late requests do not count as asked for in time", t, func() {
+		g := growing(2, 10_000)
+		for i := range uint64(20) {
+			g.Ask(start, lateAsk(i))
+		}
+		convey.So(g.asks.amount, convey.ShouldEqual, 0)
+		convey.So(g.recentAsks.amount, convey.ShouldEqual, 0)
+	})
+}
+
+// plainGroup has one endpoint of two slots, whose requests take 100 ms, with so
+// many of them taken.
+func plainGroup(taken uint64) (*Group, time.Time) {
+	g := New(Config{
+		Plain:   true,
+		Targets: Targets{FirstToken: 5 * time.Second, PerToken: 5 * time.Second},
+		Engines: []EngineSpec{{Name: "a", Zone: "z", Decode: true, Slots: 2, PrefillRate: 1e12}},
+	}, start)
+	now := start
+	for n := range uint64(50) {
+		a := plainAsk(n)
+		g.Ask(now, a)
+		now = now.Add(100 * time.Millisecond)
+		g.Done(now, Report{ID: a.ID, Finished: true})
+	}
+	for n := range taken {
+		g.Ask(now, plainAsk(1000+n))
+		now = now.Add(time.Millisecond)
+	}
+	return g, now
+}
+
+func plainAsk(n uint64) Ask {
+	a := askOf(n, 0, 0)
+	a.Deadline = 300 * time.Millisecond
+	return a
+}
+
+func TestPlainRequestsInTime(t *testing.T) {
+	cases := map[string]struct {
+		taken          uint64
+		spill, late    bool
+		waited, giveUp time.Duration
+		want           string
+	}{
+		"a free slot":                             {want: "grant"},
+		"a free slot, but no time left for it":    {waited: 250 * time.Millisecond, want: "refuse"},
+		"no slot free, and one soon":              {taken: 2, want: "queue"},
+		"too many before it to be in time":        {taken: 8, want: "refuse"},
+		"no slot free at another group":           {taken: 2, spill: true, want: "refuse"},
+		"late, and a slot is left":                {late: true, waited: time.Second, giveUp: time.Second, want: "grant"},
+		"late, and all slots are taken by others": {taken: 8, late: true, waited: time.Second, giveUp: time.Second, want: "refuse"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			g, now := plainGroup(c.taken)
+			a := plainAsk(5000)
+			a.Spill, a.Late, a.Waited, a.GiveUp = c.spill, c.late, c.waited, c.giveUp
+			if got := kindOf(g.Ask(now, a), a); got != c.want {
+				t.Errorf("decision: %q, want %q", got, c.want)
+			}
+		})
+	}
+}
--- a/state/schedule/learn.go
+++ b/state/schedule/learn.go
@@ -96,6 +96,7 @@
 		g.endTrial(gr)
 		return
 	}
+	g.learnService(sinceStart(g.start, now) - gr.granted)
 	e := &g.engines[gr.decode]
 	e.breaker = e.breaker.WithSuccess()
 	if gr.prefill != none {
@@ -118,6 +119,21 @@
 	g.learnLink(gr, r)
 }
 
+// serviceShare is the weight of one request in the mean time of plain ones: some
+// tens of them show that the endpoints have become slower. Chosen, not measured.
+const serviceShare = 1.0 / 32
+
+// learnService takes in how long a plain request held its slot.
+func (g *Group) learnService(held int64) {
+	if !g.cfg.Plain {
+		return
+	}
+	if g.serviceNS == 0 {
+		g.serviceNS = float64(held)
+	}
+	g.serviceNS += (float64(held) - g.serviceNS) * serviceShare
+}
+
 // minLearnSteps keeps very short answers out of the step time.
 const minLearnSteps = 8
 
--- a/state/schedule/order.go
+++ b/state/schedule/order.go
@@ -16,6 +16,8 @@
 	deadline int64
 	// idle is the time to the first token on an idle system.
 	idle int64
+	// late is that of the ask: the deadline is then when its caller gives up.
+	late bool
 }
 
 // hopeless says whether even an idle system could not meet the deadline.
@@ -106,13 +108,19 @@
 		return float64(w.arrived)
 	}
 	target := float64(g.cfg.Targets.FirstToken)
-	late := g.accounts.excess(w.ask.Account, now) * target
-	return float64(w.deadline) + late + shortFirst*float64(w.idle) - float64(w.ask.Priority)*float64(priorityStep)
+	excess := g.accounts.excess(w.ask.Account, now) * target
+	key := float64(w.deadline) + excess + shortFirst*float64(w.idle) - float64(w.ask.Priority)*float64(priorityStep)
+	if w.late {
+		key += float64(lateStep)
+	}
+	return key
 }
 
 const (
 	// priorityStep is how much earlier a step of priority puts a request.
 	priorityStep = time.Hour
+	// lateStep puts a late request behind all others, whatever their priority.
+	lateStep = 100 * priorityStep
 	// shortFirst weighs a request's own length in the order.
 	shortFirst = 1.0
 )
--- a/state/schedule/queue.go
+++ b/state/schedule/queue.go
@@ -16,7 +16,14 @@
 
 // waiter works out an ask's deadline and its time on an idle system.
 func (g *Group) waiter(a Ask, t int64) *waiter {
-	w := &waiter{ask: a, arrived: t - int64(a.Waited), idle: g.idleNS(a)}
+	w := &waiter{ask: a, arrived: t - int64(a.Waited), idle: g.idleNS(a), late: a.Late}
+	if g.cfg.Plain {
+		w.idle = int64(g.serviceNS)
+	}
+	if a.Late {
+		w.deadline = t + int64(a.GiveUp)
+		return w
+	}
 	targets := g.cfg.Targets
 	target := targets.FirstToken + time.Duration(float64(targets.FirstTokenPer1K)*float64(a.PromptTokens)/1000)
 	if a.Deadline > 0 {
@@ -83,7 +90,7 @@
 		last = k
 		w := g.waiting[i]
 		c, ok := g.place(t, w)
-		if !ok {
+		if !ok || w.late && g.othersWait() {
 			continue
 		}
 		late := t+c.FirstTokenNS > w.deadline
--- a/state/schedule/refuse.go
+++ b/state/schedule/refuse.go
@@ -4,7 +4,6 @@
 package schedule
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -15,7 +14,7 @@
 func (g *Group) refuseEarly(w *waiter, t int64) (Refuse, bool) {
 	refuse := func(reason lifecycle.Reason, after, wait int64) (Refuse, bool) {
 		retry := max(time.Duration(after), retryFloor)
-		if reason == lifecycle.ReasonHopeless && !w.ask.Spill {
+		if reason == lifecycle.ReasonHopeless && !w.ask.Spill && !w.late {
 			retry = g.comeBack(t, retry, w.ask.Patience)
 		}
 		return Refuse{Ask: w.ask, Reason: reason, RetryAfter: retry, Seen: g.inputs(w, t, wait)}, true
@@ -40,6 +39,12 @@
 	if g.cfg.Policy.NoEarlyRefusal {
 		return Refuse{}, false
 	}
+	if w.late {
+		if wait, fits := g.lateWaitNS(w, t); !fits {
+			return refuse(lifecycle.ReasonHopeless, wait, wait)
+		}
+		return Refuse{}, false
+	}
 	if wait := g.waitNS(w, t); t+wait+w.idle > w.deadline {
 		return refuse(lifecycle.ReasonHopeless, wait, wait)
 	}
@@ -70,9 +75,9 @@
 
 // comeBack tells a refused caller when to come again: at the earliest after
 // the given wait, and each after the one before, at the rate that the group
-// can serve beside its usual asks. Callers that all came back at once would be
-// refused again, so those for whom the line is longer than they will wait are
-// spread over the later part of that time.
+// can serve beside its usual asks. Those for whom the line is longer than they
+// will wait come as late as they will: they are late in any case, and the longer
+// a rush lasts the more are served after it.
 func (g *Group) comeBack(t int64, after, patience time.Duration) time.Duration {
 	releases := max(g.releaseRate(t), minReleaseRate)
 	usual := g.asks.rate(t, asksHalfLife)
@@ -82,21 +87,9 @@
 		g.returns = next
 		return time.Duration(next - t)
 	}
-	g.spread += goldenRatio
-	g.spread -= math.Floor(g.spread)
-	earliest := min(max(after, time.Duration(spreadFrom*float64(patience))), patience)
-	return earliest + time.Duration(g.spread*float64(patience-earliest))
+	return patience
 }
 
-const (
-	// spreadFrom is the part of a caller's patience after which those who have
-	// no time of their own are told to come.
-	spreadFrom = 0.4
-	// goldenRatio steps through an interval so that any number of steps lie
-	// evenly in it.
-	goldenRatio = 0.6180339887
-)
-
 // canDecode says whether the group has any engine to decode on for an ask that
 // avoids some. One that is ejected counts: it comes back.
 func (g *Group) canDecode(avoid []string) bool {
@@ -172,6 +165,10 @@
 		}
 		g.remove(i)
 		wait := g.waitNS(w, t)
+		if w.late {
+			out = append(out, Refuse{Ask: w.ask, Reason: lifecycle.ReasonHopeless, RetryAfter: max(time.Duration(wait), retryFloor), Seen: g.inputs(w, t, wait)})
+			continue
+		}
 		retry := g.comeBack(t, max(time.Duration(wait), retryFloor), w.ask.Patience)
 		out = append(out, Refuse{Ask: w.ask, Reason: lifecycle.ReasonHopeless, RetryAfter: retry, Seen: g.inputs(w, t, wait)})
 	}
--- a/state/schedule/types.go
+++ b/state/schedule/types.go
@@ -101,6 +101,9 @@
 	// is a guess, and that an engine that runs out puts requests back. Without
 	// it an engine sets all of a request's memory aside when it begins.
 	Growing bool
+	// Plain says that a request has no prompt and no tokens: it holds a slot for a
+	// time that is learnt, and its target is for the whole answer.
+	Plain bool
 	// Cautious is for a group that takes over from a home it knows nothing of:
 	// an engine gets at most half its cap until it has reported once.
 	Cautious bool
@@ -140,6 +143,13 @@
 	// Spill is true when the group that the request belongs to has refused it:
 	// this one grants it at once, or refuses and books no time to come back.
 	Spill bool
+	// Late is true when the request cannot meet its target any more, whoever
+	// serves it: it takes what is left by those that can, and is refused at once
+	// if that will not be enough.
+	Late bool
+	// GiveUp is how long the caller of a late request waits for the first token,
+	// from now on.
+	GiveUp time.Duration
 }
 
 // Decision is what the group says about an ask. Exactly one of the types
--- a/state/table/route.go
+++ b/state/table/route.go
@@ -31,6 +31,9 @@
 	TargetMS int `json:"target_ms,omitempty"`
 	// GapMS is the target between two events of a stream.
 	GapMS int `json:"gap_ms,omitempty"`
+	// GiveUpMS is how long callers wait for a stream's first event before they
+	// give it up, in milliseconds; 0 is not known.
+	GiveUpMS int `json:"give_up_ms,omitempty"`
 	// MaxAttempts is the most endpoints that may run one request.
 	MaxAttempts int `json:"max_attempts"`
 	// Priority 0 is the most urgent.
@@ -80,6 +83,11 @@
 	return time.Duration(r.TargetMS) * time.Millisecond
 }
 
+// GiveUp is how long callers wait for the first event; 0 is not known.
+func (r Route) GiveUp() time.Duration {
+	return time.Duration(r.GiveUpMS) * time.Millisecond
+}
+
 // Idempotent says whether the route's requests may run more than once.
 func (r Route) Idempotent() bool {
 	return r.Repeat == RepeatSafe || r.Repeat == RepeatStream && r.Resumable
