A box that starts asks for a newer table at once

Cause: the wait before asking, meant for a box that the tree will reach, also held up a box that starts on an old table: TestConfiguration failed (generation 1 in force where 10 was). Change: only a box with a table in force waits.

--- a/coordination/follow/follow.go
+++ b/coordination/follow/follow.go
@@ -282,7 +282,8 @@
 	case f.behind.IsZero():
 		f.behind = now
 	}
-	waited := have == 0 || now.Sub(f.behind) >= pullGrace
+	// One that starts has put nothing into force yet and asks at once.
+	waited := !f.open || now.Sub(f.behind) >= pullGrace
 	ask := generation > have && waited && now.Sub(f.pulled) >= pullPause
 	if ask {
 		f.pulled = now
--- a/coordination/follow/follow_test.go
+++ b/coordination/follow/follow_test.go
@@ -179,13 +179,16 @@
 func TestNewerTablesAreAskedFor(t *testing.T) {
 	cases := map[string]struct {
 		have uint64
+		// starts is a box that has put no table into force yet.
+		starts bool
 		// heard is the generation that others name each 100 ms, comes whether it
 		// comes along the tree after 200 ms.
 		heard uint64
 		comes bool
 		want  int
 	}{
-		"a box without a table asks at once":           {heard: 5, want: 1},
+		"a box without a table asks at once":           {starts: true, heard: 5, want: 1},
+		"one that starts on an old table asks at once": {starts: true, have: 4, heard: 5, want: 1},
 		"one that the tree reaches in time never asks": {have: 4, heard: 5, comes: true},
 		"one that it does not reach asks after a wait": {have: 4, heard: 5, want: 1},
 		"nothing newer": {have: 5, heard: 5},
@@ -195,8 +198,12 @@
 			synctest.Test(t, func(t *testing.T) {
 				asked := 0
 				f := New(Config{Self: "box-1", Peers: pulls{asked: &asked}, Ranked: func(string) []string { return nil }, Log: log.Discard()})
-				f.open = true
+				f.open = !c.starts
 				f.Offer(table.Table{Generation: c.have})
+				f.Heard("box-2", c.heard)
+				if c.starts != (asked == 1) {
+					t.Errorf("asked at once: %v", asked == 1)
+				}
 				for k := range 5 {
 					if c.comes && k == 2 {
 						f.Offer(table.Table{Generation: c.heard})
--- a/tests/mutants/shared.go
+++ b/tests/mutants/shared.go
@@ -81,7 +81,7 @@
 	},
 	{
 		name: "newer_table_asked_for_at_once", file: followFile, pkg: "./coordination/follow", args: only("TestNewerTablesAreAskedFor"),
-		old: "waited := have == 0 || now.Sub(f.behind) >= pullGrace", fault: "waited := have == 0 || now.Sub(f.behind) >= 0*pullGrace",
+		old: "waited := !f.open || now.Sub(f.behind) >= pullGrace", fault: "waited := !f.open || now.Sub(f.behind) >= 0*pullGrace",
 	},
 	{
 		name: "prefill_without_slot", file: queueFile, pkg: scheduleTests, args: only("TestNoPrefillWithoutSlot"),
