Processes of tests bind their own ports, and a failed test keeps its boxes' logs

Cause: TestBoxPaused failed once beside another run (a box never answered); ports were picked, let go and bound by the box a moment later, so that two runs could take them from each other; the box's own output was not kept. Change: boxes as processes listen on port 0 and say where in their log's first line, which the stand-in fleet reads; a box that ends at its start is an error with its log; a test that fails prints the logs.

--- a/box/box.go
+++ b/box/box.go
@@ -411,7 +411,9 @@
 		running.Go(func() error { return b.routed.server.Serve(duties, b.routed.listener) })
 	}
 	running.Go(func() error { return b.keeper.Run(duties) })
-	b.options.Log.WithFields(log.Fields{"callers": b.CallerAddr(), "boxes": b.BoxAddr()}).Info("box_started")
+	b.options.Log.WithFields(log.Fields{
+		"callers": b.CallerAddr(), "boxes": b.BoxAddr(), "operator": b.OperatorAddr(),
+	}).Info("box_started")
 	serving, endServing := context.WithCancel(duties)
 	defer endServing()
 	leave := context.AfterFunc(ctx, func() {
--- a/fakes/fleet/process.go
+++ b/fakes/fleet/process.go
@@ -7,11 +7,13 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net"
+	"io"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"syscall"
+	"time"
 
 	"runridge.example/runridge/modules/setting"
 	"runridge.example/runridge/protocol/platformapi"
@@ -25,6 +27,7 @@
 	// OperatorAddr is where the box tells its status.
 	OperatorAddr string
 	settings     setting.Box
+	logPath      string
 	cmd          *exec.Cmd
 	done         chan struct{}
 	err          error
@@ -38,11 +41,11 @@
 
 // AddProcess starts the router program as a box. Its log goes to a file in dir.
 func (f *Fleet) AddProcess(program, dir, name, zone string) (*Process, error) {
-	settings, err := f.processSettings(name, zone)
-	if err != nil {
-		return nil, err
-	}
-	return f.startProcess(program, dir, settings)
+	const anyPort = "127.0.0.1:0"
+	return f.startProcess(program, dir, setting.Box{
+		Name: name, Zone: zone, Platform: f.Platform.Addr(), RepeatWindowSeconds: processWindow,
+		CallerListen: anyPort, BoxListen: anyPort, OperatorListen: anyPort,
+	})
 }
 
 // Restart starts a process again after its end, at its old addresses.
@@ -60,12 +63,14 @@
 	if err := os.WriteFile(path, data, settingsMode); err != nil {
 		return nil, err
 	}
-	logFile, err := os.OpenFile(filepath.Join(dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, settingsMode)
+	p := &Process{Name: name, settings: settings, logPath: filepath.Join(dir, name+".log"), done: make(chan struct{})}
+	logFile, err := os.OpenFile(p.logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, settingsMode)
 	if err != nil {
 		return nil, err
 	}
-	p := &Process{
-		Name: name, CallerAddr: settings.CallerListen, OperatorAddr: settings.OperatorListen, settings: settings, done: make(chan struct{}),
+	begin, err := logFile.Seek(0, io.SeekEnd)
+	if err != nil {
+		return nil, errors.Join(err, logFile.Close())
 	}
 	p.cmd = exec.Command(program, "serve", "--settings", path)
 	p.cmd.Stdout, p.cmd.Stderr = logFile, logFile
@@ -77,24 +82,67 @@
 		_ = logFile.Close()
 		close(p.done)
 	}()
-	f.Platform.SetBox(platformapi.Box{Name: name, Address: settings.BoxListen, Zone: settings.Zone})
+	if err := p.awaitStart(begin); err != nil {
+		return nil, err
+	}
+	f.Platform.SetBox(platformapi.Box{Name: name, Address: p.settings.BoxListen, Zone: settings.Zone})
 	return p, nil
 }
 
-func (f *Fleet) processSettings(name, zone string) (setting.Box, error) {
-	s := setting.Box{Name: name, Zone: zone, Platform: f.Platform.Addr(), RepeatWindowSeconds: processWindow}
-	for _, address := range []*string{&s.CallerListen, &s.BoxListen, &s.OperatorListen} {
-		// The port is free now; the process takes it in a moment.
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+// startLook is how often the log of a process that starts is looked at.
+const startLook = 2 * time.Millisecond
+
+// awaitStart reads from the process's log, from an offset on, at which addresses
+// it listens. A process that ends before gives an error with its log.
+func (p *Process) awaitStart(offset int64) error {
+	for {
+		// The end is looked at first, so that the log is whole if it has come.
+		ended := false
+		select {
+		case <-p.done:
+			ended = true
+		default:
+		}
+		text, err := p.Log()
 		if err != nil {
-			return s, err
+			return err
+		}
+		if p.readAddresses(text[offset:]) {
+			return nil
 		}
-		*address = l.Addr().String()
-		if err := l.Close(); err != nil {
-			return s, err
+		if ended {
+			return fmt.Errorf("box %s ended at its start: %w: %s", p.Name, p.err, text[offset:])
 		}
+		time.Sleep(startLook)
 	}
-	return s, nil
+}
+
+// startLine is what a box writes when it listens.
+var startLine = regexp.MustCompile(`msg=box_started .*\n`)
+
+// readAddresses takes the addresses from the box's log; false if it does not
+// have them yet.
+func (p *Process) readAddresses(text string) bool {
+	line := startLine.FindString(text)
+	if line == "" {
+		return false
+	}
+	field := func(name string) string {
+		found := regexp.MustCompile(" " + name + `="([^"]*)"`).FindStringSubmatch(line)
+		if found == nil {
+			return ""
+		}
+		return found[1]
+	}
+	p.settings.CallerListen, p.settings.BoxListen, p.settings.OperatorListen = field("callers"), field("boxes"), field("operator")
+	p.CallerAddr, p.OperatorAddr = p.settings.CallerListen, p.settings.OperatorListen
+	return true
+}
+
+// Log is what the process has written, from its first start on.
+func (p *Process) Log() (string, error) {
+	data, err := os.ReadFile(p.logPath)
+	return string(data), err
 }
 
 // Kill ends the process at once.
--- a/tests/integration/failure_test.go
+++ b/tests/integration/failure_test.go
@@ -53,7 +53,10 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		t.Cleanup(p.Kill)
+		t.Cleanup(func() {
+			p.Kill()
+			keepLog(t, p)
+		})
 		out = append(out, p)
 	}
 	for _, p := range out {
@@ -62,6 +65,15 @@
 	return f, out
 }
 
+// keepLog writes a box's log into the output of a test that failed.
+func keepLog(t *testing.T, p *fleet.Process) {
+	if !t.Failed() {
+		return
+	}
+	text, err := p.Log()
+	t.Logf("log of %s (%v):\n%s", p.Name, err, text)
+}
+
 // awaitStatus waits until an address answers with a status.
 func awaitStatus(ctx context.Context, t *testing.T, url string, status int) {
 	t.Helper()
