The age of a returning caller is told from the times that callers start with

Cause, found by reading: age was the longest time named on a route less what a caller has left, so that callers who always start with a shorter time than others on their route would have counted as returned, and would have stood behind all others for ever. Change: times that are named over and over, to the millisecond, are those that callers start with; what is left to one that returns is hardly ever the same twice (estimate.Patience in place of Longest). Tests: TestPatience, TestPatienceFades, a case of TestAgeOfReturningCallers that fails with the code before; a deliberate fault.

--- a/coordination/relay/late_test.go
+++ b/coordination/relay/late_test.go
@@ -22,12 +22,17 @@
 		"one that comes back":                {route: "a", wait: 9500 * time.Millisecond, want: 4500 * time.Millisecond},
 		"one that does not say how long":     {route: "a"},
 		"one of a route with a shorter time": {route: "b", wait: 3 * time.Second},
+		"one that always starts with less":   {route: "c", wait: 6 * time.Second},
 		"one that waits longer than all yet": {route: "a", wait: 20 * time.Second},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			r := New(Config{Log: log.Discard()})
-			r.noteWait("a", whole)
+			for range 2 {
+				r.noteWait("a", whole)
+				r.noteWait("c", whole)
+				r.noteWait("c", 6*time.Second)
+			}
 			if got := r.noteWait(c.route, c.wait); got != c.want {
 				t.Errorf("age: %v, want %v", got, c.want)
 			}
--- a/coordination/relay/relay.go
+++ b/coordination/relay/relay.go
@@ -83,8 +83,8 @@
 	table   table.Table
 	runs    map[lifecycle.RequestID]*run
 	budgets map[string]retry.Budget
-	// waits is the longest time that callers of each route say they will wait.
-	waits map[string]estimate.Longest
+	// patience is how long the callers of each route say they will wait.
+	patience map[string]estimate.Patience
 }
 
 // New makes a relay.
@@ -93,11 +93,11 @@
 		cfg.Now = time.Now
 	}
 	return &Relay{
-		cfg:     cfg,
-		started: cfg.Now(),
-		runs:    make(map[lifecycle.RequestID]*run),
-		budgets: make(map[string]retry.Budget),
-		waits:   make(map[string]estimate.Longest),
+		cfg:      cfg,
+		started:  cfg.Now(),
+		runs:     make(map[lifecycle.RequestID]*run),
+		budgets:  make(map[string]retry.Budget),
+		patience: make(map[string]estimate.Patience),
 	}
 }
 
@@ -198,16 +198,15 @@
 }
 
 // noteWait takes in how long a caller of a route will wait, and returns how long
-// ago the caller first tried: one that comes back waits for what is left of the
-// time that it gave itself, which is as long as others' on the route.
+// ago the caller first tried.
 func (r *Relay) noteWait(route string, wait time.Duration) time.Duration {
 	if wait <= 0 {
 		return 0
 	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.waits[route] = r.waits[route].With(r.uptime(), wait)
-	return r.waits[route].Value() - wait
+	r.patience[route] = r.patience[route].With(wait)
+	return r.patience[route].Age(wait)
 }
 
 // uptime is how long the box has run, by the steady clock.
--- a/tests/mutants/shared.go
+++ b/tests/mutants/shared.go
@@ -73,7 +73,11 @@
 	},
 	{
 		name: "callers_who_return_count_as_new", file: "coordination/relay/relay.go", pkg: "./coordination/relay", args: only("TestAgeOfReturningCallers"),
-		old: "return r.waits[route].Value() - wait", fault: "return 0",
+		old: "return r.patience[route].Age(wait)", fault: "return 0",
+	},
+	{
+		name: "shorter_patience_counts_as_a_return", file: "state/estimate/patience.go", pkg: "./state/estimate", args: only("TestPatience"),
+		old: "		if v.wait == left {\n			return 0\n		}\n", fault: "",
 	},
 	{
 		name: "change_of_any_length_unpacked", file: "box/delta.go", pkg: "./box", args: only("TestBadDeltas"),
