--- a/coordination/home/home_test.go
+++ b/coordination/home/home_test.go
@@ -5,6 +5,8 @@
 
 import (
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/smartystreets/goconvey/convey"
 
@@ -12,6 +14,7 @@
 	"runridge.example/runridge/state/example"
 	"runridge.example/runridge/state/lifecycle"
 	"runridge.example/runridge/state/schedule"
+	"runridge.example/runridge/state/table"
 )
 
 // answers drops what a home says; this box is home of every group.
@@ -49,3 +52,49 @@
 		})
 	}
 }
+
+// checks counts the attempts that boxes are asked about, by group.
+type checks struct {
+	answers
+	asked map[string]int
+}
+
+func (c checks) Check(_, group, _ string, ids []lifecycle.AttemptID) { c.asked[group] += len(ids) }
+
+func TestOldGrantsAreChecked(t *testing.T) {
+	cases := map[string]struct {
+		plain bool
+		after time.Duration
+		want  int
+	}{
+		"a plain request of a moment ago": {plain: true, after: oldPlain / 2},
+		"a plain request of a second ago": {plain: true, after: oldPlain, want: 1},
+		"a model request of a second ago": {after: oldPlain},
+		"a model request of long ago":     {after: oldGrant, want: 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				sample, _ := example.Table(example.Bogota)
+				asked := make(map[string]int)
+				h := New(Config{Self: "self", Answers: checks{asked: asked}, Log: log.Discard()})
+				h.configure(sample.WithGeneration(1))
+				for _, group := range sample.Groups() {
+					key := group.Key
+					if s, _ := sample.Service(group.Service); (s.Kind == table.KindPlain) != c.plain {
+						continue
+					}
+					id := lifecycle.AttemptID{Request: lifecycle.RequestID{Box: "b", Incarnation: 7, Sequence: 1}, Number: 1}
+					h.handle(Command{From: "b", Group: key, Body: schedule.Ask{ID: id, Box: "b"}})
+					time.Sleep(c.after)
+					h.check(oldGrant, oldPlain)
+					if asked[key] != c.want {
+						t.Errorf("asked about %d attempts, want %d", asked[key], c.want)
+					}
+					return
+				}
+				t.Fatal("the example has no such group")
+			})
+		})
+	}
+}
--- a/tests/mutants/shared.go
+++ b/tests/mutants/shared.go
@@ -79,6 +79,10 @@
 		name: "shorter_patience_counts_as_a_return", file: "state/estimate/patience.go", pkg: "./state/estimate", args: only("TestPatience"),
 		old: "		if v.wait == left {\n			return 0\n		}\n", fault: "",
 	},
+	{
+		name: "lost_plain_slots_kept", file: "coordination/home/home.go", pkg: "./coordination/home", args: only("TestOldGrantsAreChecked"),
+		old: "		if g.Plain() {\n", fault: "		if false {\n",
+	},
 	{
 		name: "change_of_any_length_unpacked", file: "box/delta.go", pkg: "./box", args: only("TestBadDeltas"),
 		old: "	if len(text) > maxDelta {\n", fault: "	if len(text) < 0 {\n",
