A request's group is not read while it changes

Ruled out: the table's way to the boxes, which was suspected first. Change: the group is written under the run's mutex and read once under it.

--- a/coordination/relay/question.go
+++ b/coordination/relay/question.go
@@ -149,6 +149,12 @@
 	}
 }
 
+func (v *run) setGroup(group string) {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	v.group = group
+}
+
 func (v *run) setHome(box string) {
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
@@ -169,12 +175,17 @@
 // rehome goes over to the group's new home, if it has one: an attempt that
 // runs is told there.
 func (v *run) rehome() {
-	if v.group == "" {
+	v.mutex.Lock()
+	group := v.group
+	v.mutex.Unlock()
+	if group == "" {
 		return
 	}
-	boxes := v.r.cfg.Homes.HomesOf(v.group)
+	boxes := v.r.cfg.Homes.HomesOf(group)
 	v.mutex.Lock()
-	if len(boxes) == 0 || boxes[0] == v.home {
+	// The run may have gone on to another group meanwhile, whose home it has just
+	// looked up.
+	if len(boxes) == 0 || boxes[0] == v.home || v.group != group {
 		v.mutex.Unlock()
 		return
 	}
@@ -192,8 +203,8 @@
 		}
 		return
 	}
-	_ = v.r.cfg.Homes.Tell(old, v.group, home.Withdrawn{ID: adopted.Ask.ID})
-	_ = v.r.cfg.Homes.Tell(boxes[0], v.group, adopted)
+	_ = v.r.cfg.Homes.Tell(old, group, home.Withdrawn{ID: adopted.Ask.ID})
+	_ = v.r.cfg.Homes.Tell(boxes[0], group, adopted)
 	time.AfterFunc(adoptAgain, func() { v.adoptAgain(boxes[0], adopted) })
 }
 
@@ -205,9 +216,9 @@
 func (v *run) adoptAgain(box string, told schedule.Adopted) {
 	v.mutex.Lock()
 	same := v.running && v.home == box && v.adopted.Ask.ID == told.Ask.ID
-	now := v.adopted
+	now, group := v.adopted, v.group
 	v.mutex.Unlock()
 	if same {
-		_ = v.r.cfg.Homes.Tell(box, v.group, now)
+		_ = v.r.cfg.Homes.Tell(box, group, now)
 	}
 }
--- a/coordination/relay/run.go
+++ b/coordination/relay/run.go
@@ -45,8 +45,9 @@
 	generation uint64
 	route      table.Route
 	service    table.Service
-	group      string
-	deadline   time.Time
+	// group is written under the mutex: rehome reads it too.
+	group    string
+	deadline time.Time
 
 	decisions chan decided
 	moved     chan struct{}
@@ -207,7 +208,7 @@
 // try makes one attempt: a question to the home, and the exchanges that it
 // grants.
 func (v *run) try(ctx context.Context) result {
-	v.group = v.chooseGroup()
+	v.setGroup(v.chooseGroup())
 	if v.group == "" {
 		return result{kind: refused, reason: string(lifecycle.ReasonNoEngine), retryAfter: notReadyRetry}
 	}
