Names: how long a reader's word counts, and the first table put into force at once

Cause: reading the change as a newcomer: cover.Time said nothing, and Fresh meant the opposite of the old read that it goes with now. Figures: none; the tests of state, coordination and box pass.

--- a/box/box.go
+++ b/box/box.go
@@ -207,15 +207,15 @@
 	b.others = others
 	b.router = home.NewRouter(s.Name, others)
 	b.follower = follow.New(follow.Config{
-		Self:     s.Name,
-		Platform: b.platform,
-		Peers:    others,
-		Ranked:   b.router.Ranked,
-		Settle:   b.settle(),
-		Fresh:    b.routed != nil,
-		Reads:    b.tableReads(),
-		Wait:     b.tableWait(),
-		Log:      o.Log,
+		Self:        s.Name,
+		Platform:    b.platform,
+		Peers:       others,
+		Ranked:      b.router.Ranked,
+		Settle:      b.settle(),
+		FirstAtOnce: b.routed != nil,
+		Reads:       b.tableReads(),
+		Wait:        b.tableWait(),
+		Log:         o.Log,
 	})
 	owners := owner.New(owner.Config{
 		Members: func() members.Snapshot { return b.members.Snapshot() },
--- a/coordination/follow/follow.go
+++ b/coordination/follow/follow.go
@@ -62,10 +62,10 @@
 	// Settle bounds how long a starting box waits for the others' word before
 	// it puts its first table into force.
 	Settle time.Duration
-	// Fresh puts the first table read into force without waiting for the others'
+	// FirstAtOnce puts the first table read into force without waiting for the others'
 	// word on it.
-	Fresh bool
-	Log   log.Logger
+	FirstAtOnce bool
+	Log         log.Logger
 }
 
 const (
@@ -424,7 +424,7 @@
 		return next, nil
 	}
 	f.Offer(t)
-	if f.cfg.Fresh && version == 0 {
+	if f.cfg.FirstAtOnce && version == 0 {
 		f.tryOpen(true)
 	}
 	return next, nil
@@ -434,7 +434,7 @@
 // takes one that may be old: a newer generation is asked for as soon as another
 // box names it, and a box that reads the platform itself goes on from there.
 func (f *Follower) get(ctx context.Context, version uint64) (adapter.Object, error) {
-	if version == 0 && f.cfg.Fresh && f.Table().Generation == 0 {
+	if version == 0 && f.cfg.FirstAtOnce && f.Table().Generation == 0 {
 		return f.cfg.Platform.GetOld(ctx, ObjectName)
 	}
 	return f.cfg.Platform.Get(ctx, ObjectName, version)
--- a/state/cover/cover.go
+++ b/state/cover/cover.go
@@ -18,9 +18,9 @@
 	// Readers is how many boxes, the first in rank, read the platform for all:
 	// one may be cut off and another one die before anyone notices.
 	Readers = 3
-	// Time is how long a reader's word keeps a box from reading itself: somewhat
+	// Validity is how long a reader's word keeps a box from reading itself: somewhat
 	// longer than a reader's wait for changes, each of which ends with a word.
-	Time = 1100 * time.Millisecond
+	Validity = 1100 * time.Millisecond
 	// startTime is how long a box that knows no other box waits for the list of
 	// boxes before it takes itself for the only one; the list is read anew after
 	// 2 s.
@@ -102,7 +102,7 @@
 		// The readers need as long to know each other as this box does.
 		covered = c.begun.Add(startTime)
 	}
-	covered = covered.Add(Time)
+	covered = covered.Add(Validity)
 	if !c.try.IsZero() {
 		return later(c.try, covered)
 	}
@@ -155,7 +155,7 @@
 // that worked makes a box that is no reader, and has heard none meanwhile, stand
 // in for the readers.
 func (c Cover) WithRead(now time.Time, p Place, worked bool, chance float64) Cover {
-	c.standIn = worked && !p.reader() && (c.heard.IsZero() || now.Sub(c.heard) >= Time)
+	c.standIn = worked && !p.reader() && (c.heard.IsZero() || now.Sub(c.heard) >= Validity)
 	if worked {
 		c.try = time.Time{}
 		return c
@@ -172,5 +172,5 @@
 // one that only stands in is not needed where a reader is heard: boxes that
 // hear nobody, but are heard, would otherwise flood the rest.
 func (c Cover) Passes(now time.Time, origin Place) bool {
-	return origin.reader() || c.reader.IsZero() || now.Sub(c.reader) >= Time
+	return origin.reader() || c.reader.IsZero() || now.Sub(c.reader) >= Validity
 }
