--- a/box/box.go
+++ b/box/box.go
@@ -29,9 +29,9 @@
 	"runridge.example/runridge/modules/invalid"
 	"runridge.example/runridge/modules/log"
 	"runridge.example/runridge/modules/metric"
-	"runridge.example/runridge/modules/pause"
 	"runridge.example/runridge/modules/ring"
 	"runridge.example/runridge/modules/setting"
+	"runridge.example/runridge/modules/sleep"
 	"runridge.example/runridge/protocol/boxwire"
 	"runridge.example/runridge/protocol/relayapi"
 	records "runridge.example/runridge/state/dedup"
@@ -451,7 +451,7 @@
 	b.homes.Leave()
 	b.leaveRouted()
 	b.options.Log.WithFields(log.Fields{"active": b.Active()}).Info("box_leaving")
-	pause.For(ctx, time.Duration(b.lingerMS.Load())*time.Millisecond)
+	sleep.For(ctx, time.Duration(b.lingerMS.Load())*time.Millisecond)
 }
 
 // drain waits until no request is in flight and no hold is left to free, or
@@ -511,7 +511,7 @@
 		live = append(live, other.Name)
 	}
 	b.net.SetPeers(addresses)
-	b.router.SetLive(live, member.Settled(s.Duty))
+	b.router.SetLive(live, member.Established(s.Duty))
 	b.keeper.SetBoxes(live)
 	b.homes.LiveChanged(lost)
 	b.dispatch.Rehome()
--- a/box/routed.go
+++ b/box/routed.go
@@ -19,9 +19,9 @@
 	members "runridge.example/runridge/coordination/member"
 	"runridge.example/runridge/coordination/registry"
 	"runridge.example/runridge/coordination/relay"
-	"runridge.example/runridge/modules/pause"
 	"runridge.example/runridge/modules/ring"
 	"runridge.example/runridge/modules/setting"
+	"runridge.example/runridge/modules/sleep"
 	"runridge.example/runridge/protocol/boxwire"
 	"runridge.example/runridge/protocol/callerapi"
 	"runridge.example/runridge/protocol/relayapi"
@@ -178,7 +178,7 @@
 		b.merge()
 		b.merging.Unlock()
 		took := float64(time.Since(begin))
-		pause.For(ctx, max(time.Duration(took/mergeShare), leastMergePause))
+		sleep.For(ctx, max(time.Duration(took/mergeShare), leastMergePause))
 	}
 }
 
--- a/box/wire.go
+++ b/box/wire.go
@@ -62,15 +62,15 @@
 	_ = p.net.Send(to, &boxwire.Pull{Have: have})
 }
 
-// SendNews tells another box what has changed among the endpoints.
-func (p peers) SendNews(to string, n directory.News) {
-	// News that is lost leaves a gap before the next, which is asked for.
-	_ = p.net.Send(to, &boxwire.News{News: n, Generation: p.generation()})
+// SendUpdate tells another box what has changed among the endpoints.
+func (p peers) SendUpdate(to string, n directory.Update) {
+	// An update that is lost leaves a gap before the next, which is asked for.
+	_ = p.net.Send(to, &boxwire.Update{Update: n, Generation: p.generation()})
 }
 
-// SendNewsPull asks another box for its whole directory.
-func (p peers) SendNewsPull(to string) {
-	_ = p.net.Send(to, &boxwire.NewsPull{})
+// SendUpdatePull asks another box for its whole directory.
+func (p peers) SendUpdatePull(to string) {
+	_ = p.net.Send(to, &boxwire.UpdatePull{})
 }
 
 // receiveChange reads a change of the table.
@@ -133,10 +133,10 @@
 		b.receiveChange(from, m)
 	case *boxwire.Pull:
 		b.follower.Pull(from, m.Have)
-	case *boxwire.News:
+	case *boxwire.Update:
 		b.follower.Heard(from, m.Generation)
-		b.receiveNews(from, m.News)
-	case *boxwire.NewsPull:
+		b.receiveUpdate(from, m.Update)
+	case *boxwire.UpdatePull:
 		if b.routed != nil {
 			b.routed.discoverer.Pull(from)
 		}
@@ -145,8 +145,8 @@
 	}
 }
 
-// receiveNews takes news of the endpoints.
-func (b *Box) receiveNews(from string, n directory.News) {
+// receiveUpdate takes an update of the endpoints.
+func (b *Box) receiveUpdate(from string, n directory.Update) {
 	if b.routed != nil {
 		b.routed.discoverer.Receive(from, n)
 	}
--- a/coordination/cleanup/cleanup.go
+++ b/coordination/cleanup/cleanup.go
@@ -136,10 +136,10 @@
 		r.forget(h)
 		return
 	}
-	go r.insist(ctx, h)
+	go r.retryUntilFreed(ctx, h)
 }
 
-func (r *Releaser) insist(ctx context.Context, h Hold) {
+func (r *Releaser) retryUntilFreed(ctx context.Context, h Hold) {
 	defer r.forget(h)
 	pauses := backoff.NewExponentialBackOff()
 	pauses.InitialInterval = firstPause
--- a/coordination/dedup/claimer.go
+++ b/coordination/dedup/claimer.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"runridge.example/runridge/modules/pause"
+	"runridge.example/runridge/modules/sleep"
 	"runridge.example/runridge/state/dedup"
 	"runridge.example/runridge/state/lifecycle"
 )
@@ -102,7 +102,7 @@
 			return reply
 		}
 		if ok {
-			pause.For(ctx, c.cfg.Again)
+			sleep.For(ctx, c.cfg.Again)
 		}
 	}
 	return Reply{Verdict: VerdictLater}
--- a/coordination/discover/discover.go
+++ b/coordination/discover/discover.go
@@ -15,7 +15,7 @@
 
 	"runridge.example/runridge/coordination/adapter"
 	"runridge.example/runridge/modules/log"
-	"runridge.example/runridge/modules/pause"
+	"runridge.example/runridge/modules/sleep"
 	"runridge.example/runridge/state/directory"
 )
 
@@ -46,7 +46,7 @@
 	// OnLost is called when the platform has forgotten its history, stopped
 	// answering or answers again: what else waits for it may wait in vain.
 	OnLost func()
-	// Self is this box's name, and Peers takes news to others; without Peers the
+	// Self is this box's name, and Peers takes updates to others; without Peers the
 	// box follows the list alone.
 	Self  string
 	Peers Peers
@@ -132,7 +132,7 @@
 		return
 	}
 	d.gathered = revision
-	pause.For(ctx, d.cfg.Pause())
+	sleep.For(ctx, d.cfg.Pause())
 }
 
 // Run follows the list until the context ends.
@@ -145,7 +145,7 @@
 		// The first list is each box's own: it has to serve at once.
 		decided := d.decide(time.Now())
 		if !decided.Read && !whole {
-			pause.For(ctx, min(decided.Wait, longestLook))
+			sleep.For(ctx, min(decided.Wait, longestLook))
 			continue
 		}
 		err := d.once(ctx, whole, !decided.Tell)
@@ -162,7 +162,7 @@
 			if lost {
 				d.cfg.Log.Info("endpoint_list_regained")
 				d.lost()
-				d.tell(d.lostNews())
+				d.tell(d.lostUpdate())
 			}
 			lost = false
 		case errors.Is(err, adapter.ErrHistoryGone):
@@ -170,20 +170,20 @@
 			// The changes since an old list are forgotten too.
 			whole, d.fresh = true, true
 			d.lost()
-			d.tell(d.lostNews())
-			pause.For(ctx, pauses.NextBackOff())
+			d.tell(d.lostUpdate())
+			sleep.For(ctx, pauses.NextBackOff())
 		case ctx.Err() == nil:
 			d.noteFailed()
 			d.cfg.Log.WithError(err).Warn("endpoint_list_failed")
 			if !lost {
 				d.lost()
 			}
-			d.tell(d.lostNews())
+			d.tell(d.lostUpdate())
 			d.noteRead(false)
 			// All boxes that want a fresh list at once may be more than the
 			// platform takes.
 			lost, d.fresh = true, false
-			pause.For(ctx, pauses.NextBackOff())
+			sleep.For(ctx, pauses.NextBackOff())
 		}
 	}
 	return nil
@@ -226,6 +226,6 @@
 		now := time.Now()
 		return known.WithChanges(now, at, changes).Without(now, d.cfg.Keep)
 	})
-	d.tell(directory.News{After: after, At: at, Changes: changes})
+	d.tell(directory.Update{After: after, At: at, Changes: changes})
 	return nil
 }
--- a/coordination/discover/discover_test.go
+++ b/coordination/discover/discover_test.go
@@ -116,7 +116,7 @@
 		s.next().reply <- reply{err: errBusy}
 		s.next().reply <- reply{at: 7}
 		convey.So(s.next().after, convey.ShouldEqual, 9)
-		w, _ := d.Directory().Word("a")
+		w, _ := d.Directory().Status("a")
 		convey.So(w.Usable(), convey.ShouldBeTrue)
 	})
 }
--- a/coordination/discover/outage.go
+++ b/coordination/discover/outage.go
@@ -14,10 +14,10 @@
 	// leastOutage is how long the platform must not have been heard for an
 	// entry to lapse meanwhile although its endpoint lives.
 	leastOutage = 1500 * time.Millisecond
-	// doubtTime is how long such entries have to come back. Endpoints write them
+	// gracePeriod is how long such entries have to come back. Endpoints write them
 	// anew within about two seconds; an endpoint that has really gone must be
 	// out before that.
-	doubtTime = 1800 * time.Millisecond
+	gracePeriod = 1800 * time.Millisecond
 )
 
 // outage is what a box knows of the platform's being away.
@@ -36,7 +36,7 @@
 }
 
 // noteHeard takes in that the platform is heard, before what it said is. After
-// an outage entries that are missing are doubted for a while.
+// an outage entries that are missing have a grace period.
 func (d *Discoverer) noteHeard(now time.Time) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
@@ -46,9 +46,9 @@
 	if !over {
 		return
 	}
-	d.known = d.known.WithDoubt(now.Add(doubtTime))
-	d.cfg.Log.WithFields(log.Fields{"away_ms": away.Milliseconds(), "position": d.known.At()}).Info("endpoint_entries_doubted")
-	time.AfterFunc(doubtTime, func() {
-		d.update(func(known directory.Directory) directory.Directory { return known.Settled(time.Now()) })
+	d.known = d.known.WithGrace(now.Add(gracePeriod))
+	d.cfg.Log.WithFields(log.Fields{"away_ms": away.Milliseconds(), "position": d.known.At()}).Info("endpoint_entries_in_grace")
+	time.AfterFunc(gracePeriod, func() {
+		d.update(func(known directory.Directory) directory.Directory { return known.WithoutGrace(time.Now()) })
 	})
 }
--- a/coordination/discover/share.go
+++ b/coordination/discover/share.go
@@ -13,36 +13,36 @@
 	"runridge.example/runridge/state/directory"
 )
 
-// Peers takes news between boxes. Calls must not block.
+// Peers takes updates between boxes. Calls must not block.
 type Peers interface {
-	// SendNews tells a box what has changed.
-	SendNews(to string, n directory.News)
-	// SendNewsPull asks a box for its whole directory.
-	SendNewsPull(to string)
+	// SendUpdate tells a box what has changed.
+	SendUpdate(to string, n directory.Update)
+	// SendUpdatePull asks a box for its whole directory.
+	SendUpdatePull(to string)
 }
 
 const (
-	// fanout is how many boxes one passes news on to.
+	// fanout is how many boxes one passes an update on to.
 	fanout = 8
 	// rankKey orders the boxes for who reads the platform.
 	rankKey = "endpoints"
-	// forgetNews is how long the number of a box's last news is remembered: long
-	// enough that news does not go in circles while boxes disagree on the tree,
+	// forgetUpdates is how long the number of a box's last update is remembered: long
+	// enough that no update goes in circles while boxes disagree on the tree,
 	// and less than a box needs to start again.
-	forgetNews = 3 * time.Second
+	forgetUpdates = 3 * time.Second
 )
 
-// heard is the last news of one origin.
+// heard is the last update of one origin.
 type heard struct {
 	sequence uint64
 	at       time.Time
 }
 
-// shared is what a box knows of the others' news.
+// shared is what a box knows of the others' updates.
 type shared struct {
-	// sequence numbers this box's own news.
+	// sequence numbers this box's own updates.
 	sequence uint64
-	// seen is the last news of each other box.
+	// seen is the last update of each other box.
 	seen  map[string]heard
 	cover cover.Cover
 	// decided is what this box last decided on reading the platform.
@@ -101,7 +101,7 @@
 
 // tell passes on what this box has read from the platform, if it reads it for
 // others too.
-func (d *Discoverer) tell(n directory.News) {
+func (d *Discoverer) tell(n directory.Update) {
 	if d.cfg.Peers == nil || !d.decide(time.Now()).Tell {
 		return
 	}
@@ -112,16 +112,16 @@
 	d.pass(n)
 }
 
-// lostNews tells that the platform was lost, or is back: nothing has changed as
+// lostUpdate tells that the platform was lost, or is back: nothing has changed as
 // far as this box knows, and it covers nobody.
-func (d *Discoverer) lostNews() directory.News {
+func (d *Discoverer) lostUpdate() directory.Update {
 	at := d.Directory().At()
-	return directory.News{After: at, At: at, Lost: true}
+	return directory.Update{After: at, At: at, Lost: true}
 }
 
-// pass sends news to this box's children in the tree of boxes whose root is
+// pass sends an update to this box's children in the tree of boxes whose root is
 // the origin. So no box sends to more than a few.
-func (d *Discoverer) pass(n directory.News) {
+func (d *Discoverer) pass(n directory.Update) {
 	order := d.cfg.Ranked(rankKey + "@" + n.Origin)
 	order = slices.DeleteFunc(slices.Clone(order), func(box string) bool { return box == n.Origin })
 	order = append([]string{n.Origin}, order...)
@@ -130,13 +130,13 @@
 		return
 	}
 	for child := at*fanout + 1; child <= at*fanout+fanout && child < len(order); child++ {
-		d.cfg.Peers.SendNews(order[child], n)
+		d.cfg.Peers.SendUpdate(order[child], n)
 	}
 }
 
-// Receive takes news from another box and passes it on. News without an origin
+// Receive takes an update from another box and passes it on. One without an origin
 // is the answer to this box's own question, and goes no further.
-func (d *Discoverer) Receive(from string, n directory.News) {
+func (d *Discoverer) Receive(from string, n directory.Update) {
 	now := time.Now()
 	answer := n.Origin == ""
 	if !answer && !d.unseen(now, n) {
@@ -145,7 +145,7 @@
 	if d.Directory().Fits(n) {
 		d.take(now, n)
 	} else {
-		d.cfg.Peers.SendNewsPull(from)
+		d.cfg.Peers.SendUpdatePull(from)
 	}
 	if n.Lost {
 		d.noteLost(now)
@@ -168,29 +168,29 @@
 	}
 }
 
-// passes says whether news goes on to the boxes after this one.
-func (d *Discoverer) passes(now time.Time, n directory.News) bool {
+// passes says whether an update goes on to the boxes after this one.
+func (d *Discoverer) passes(now time.Time, n directory.Update) bool {
 	origin := d.place(n.Origin)
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	return d.shared.cover.Passes(now, origin)
 }
 
-// unseen notes news and says whether it has not been here before.
-func (d *Discoverer) unseen(now time.Time, n directory.News) bool {
+// unseen notes an update and says whether it has not been here before.
+func (d *Discoverer) unseen(now time.Time, n directory.Update) bool {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	last := d.shared.seen[n.Origin]
-	if n.Origin == d.cfg.Self || n.Sequence <= last.sequence && now.Sub(last.at) < forgetNews {
+	if n.Origin == d.cfg.Self || n.Sequence <= last.sequence && now.Sub(last.at) < forgetUpdates {
 		return false
 	}
 	d.shared.seen[n.Origin] = heard{sequence: n.Sequence, at: now}
 	return true
 }
 
-// take puts news that fits into force. News that is not older than what is
+// take puts an update that fits into force. One that is not older than what is
 // known here covers this box, unless it tells that the platform is lost.
-func (d *Discoverer) take(now time.Time, n directory.News) {
+func (d *Discoverer) take(now time.Time, n directory.Update) {
 	own, origin := d.place(d.cfg.Self), d.place(n.Origin)
 	d.mutex.Lock()
 	covers := n.At >= d.known.At() && !n.Lost
@@ -201,12 +201,12 @@
 	if covers {
 		d.noteHeard(now)
 	}
-	d.update(func(known directory.Directory) directory.Directory { return known.WithNews(now, n) })
+	d.update(func(known directory.Directory) directory.Directory { return known.WithUpdate(now, n) })
 }
 
-// Pull answers a box that has missed news with all that is known here.
+// Pull answers a box that has missed updates with all that is known here.
 func (d *Discoverer) Pull(from string) {
 	if known := d.Directory(); known.Known() {
-		d.cfg.Peers.SendNews(from, known.All())
+		d.cfg.Peers.SendUpdate(from, known.All())
 	}
 }
--- a/coordination/discover/share_test.go
+++ b/coordination/discover/share_test.go
@@ -17,11 +17,11 @@
 	"runridge.example/runridge/state/directory"
 )
 
-// fleet is boxes whose news reaches the others at once.
+// fleet is boxes whose updates reach the others at once.
 type fleet struct {
 	names []string
 	boxes map[string]*Discoverer
-	// got counts the news that each box was sent, and pulls the questions.
+	// got counts the updates that each box was sent, and pulls the questions.
 	got, pulls map[string]int
 	cut        map[string]bool
 }
@@ -49,35 +49,35 @@
 	from string
 }
 
-func (l link) SendNews(to string, n directory.News) {
+func (l link) SendUpdate(to string, n directory.Update) {
 	if !l.f.cut[to] {
 		l.f.got[to]++
 		l.f.boxes[to].Receive(l.from, n)
 	}
 }
 
-func (l link) SendNewsPull(to string) {
+func (l link) SendUpdatePull(to string) {
 	l.f.pulls[to]++
 	l.f.boxes[to].Pull(l.from)
 }
 
-func TestNewsReachesEveryBoxOnce(t *testing.T) {
+func TestUpdatesReachEveryBoxOnce(t *testing.T) {
 	f := newFleet(150, nil)
 	first := f.watchers()[0]
-	f.boxes[first].tell(directory.News{After: 0, At: 3, Changes: []directory.Change{{Entry: entry("a")}}})
+	f.boxes[first].tell(directory.Update{After: 0, At: 3, Changes: []directory.Change{{Entry: entry("a")}}})
 	for _, name := range f.names {
 		want := 1
 		if name == first {
 			want = 0
 		}
 		if f.got[name] != want {
-			t.Errorf("%s got the news %d times", name, f.got[name])
+			t.Errorf("%s got the update %d times", name, f.got[name])
 		}
 		if at := f.boxes[name].Directory().At(); want == 1 && at != 3 {
 			t.Errorf("%s stands at %d", name, at)
 		}
 	}
-	f.boxes[f.other()].tell(directory.News{After: 3, At: 4})
+	f.boxes[f.other()].tell(directory.Update{After: 3, At: 4})
 	for _, name := range f.names {
 		if at := f.boxes[name].Directory().At(); at == 4 {
 			t.Errorf("%s heard from a box that reads for nobody", name)
@@ -85,12 +85,12 @@
 	}
 }
 
-func TestMissedNewsIsAskedFor(t *testing.T) {
+func TestMissedUpdatesAreAskedFor(t *testing.T) {
 	f := newFleet(5, nil)
 	first, other := f.watchers()[0], f.other()
 	step := func(at uint64, id string) {
-		n := directory.News{After: at - 1, At: at, Changes: []directory.Change{{Entry: entry(id)}}}
-		f.boxes[first].update(func(d directory.Directory) directory.Directory { return d.WithNews(time.Time{}, n) })
+		n := directory.Update{After: at - 1, At: at, Changes: []directory.Change{{Entry: entry(id)}}}
+		f.boxes[first].update(func(d directory.Directory) directory.Directory { return d.WithUpdate(time.Time{}, n) })
 		f.boxes[first].tell(n)
 	}
 	step(1, "a")
@@ -104,7 +104,7 @@
 	}
 }
 
-func TestNewsKeepsABoxFromFollowing(t *testing.T) {
+func TestUpdatesKeepABoxFromReading(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := scripted{calls: make(chan call)}
 		f := newFleet(6, s)
@@ -114,17 +114,17 @@
 		go func() { _ = box.Run(ctx) }()
 		s.next().reply <- reply{list: []directory.Entry{entry("a")}, at: 5}
 		synctest.Wait()
-		news := func(after, at uint64, lost bool) {
-			box.Receive(f.watchers()[0], directory.News{Origin: f.watchers()[0], Sequence: at, After: after, At: at, Lost: lost})
+		update := func(after, at uint64, lost bool) {
+			box.Receive(f.watchers()[0], directory.Update{Origin: f.watchers()[0], Sequence: at, After: after, At: at, Lost: lost})
 		}
-		news(5, 6, false)
-		// From here on only news comes: no call may follow while it does.
+		update(5, 6, false)
+		// From here on only updates come: no call may follow while it does.
 		for at := uint64(7); at < 12; at++ {
 			time.Sleep(cover.Validity / 2)
-			news(at-1, at, false)
+			update(at-1, at, false)
 			select {
 			case c := <-s.calls:
-				t.Fatalf("the box asked the platform after %d although it has news", c.after)
+				t.Fatalf("the box asked the platform after %d although it has updates", c.after)
 			default:
 			}
 		}
@@ -132,17 +132,17 @@
 		select {
 		case c := <-s.calls:
 			if c.after != 11 {
-				t.Errorf("after the news ended the box goes on after %d", c.after)
+				t.Errorf("after the updates ended the box goes on after %d", c.after)
 			}
 		case <-time.After(10 * cover.Validity):
-			t.Error("after the news ended the box does not follow the list")
+			t.Error("after the updates ended the box does not follow the list")
 		}
 	})
 }
 
-func TestNewsThatCoversNobody(t *testing.T) {
-	covers := func(n directory.News) bool { return n.At == 6 }
-	cases := map[string]directory.News{
+func TestUpdatesThatCoverNobody(t *testing.T) {
+	covers := func(n directory.Update) bool { return n.At == 6 }
+	cases := map[string]directory.Update{
 		"that fits":                {Origin: "b", Sequence: 1, After: 5, At: 6},
 		"older than what is known": {Origin: "b", Sequence: 1, After: 1, At: 2},
 		"the platform is lost":     {Origin: "b", Sequence: 1, After: 5, At: 5, Lost: true},
@@ -161,7 +161,7 @@
 				box.cfg.OnLost = func() { lost++ }
 				time.Sleep(10 * cover.Validity)
 				box.Receive(n.Origin, n)
-				// Longer than a box of six waits for its own try, and less than news
+				// Longer than a box of six waits for its own try, and less than an update
 				// that fits would keep it from reading.
 				time.Sleep(cover.Validity/2 + 50*time.Millisecond)
 				if reads := box.decide(time.Now()).Read; reads == covers(n) {
@@ -175,16 +175,16 @@
 	}
 }
 
-func TestNewsDoesNotGoInCircles(t *testing.T) {
+func TestUpdatesDoNotGoInCircles(t *testing.T) {
 	f := newFleet(20, nil)
 	// Each box ranks the others in an order of its own.
 	for i, name := range f.names {
 		f.boxes[name].cfg.Ranked = func(string) []string { return append(slices.Clone(f.names[i:]), f.names[:i]...) }
 	}
-	f.boxes["b000"].tell(directory.News{At: 1})
+	f.boxes["b000"].tell(directory.Update{At: 1})
 	for name, n := range f.got {
 		if n > 20 {
-			t.Errorf("%s got the same news %d times", name, n)
+			t.Errorf("%s got the same update %d times", name, n)
 		}
 	}
 }
@@ -205,18 +205,18 @@
 				f := newFleet(6, nil)
 				box := f.boxes[f.other()]
 				from := f.watchers()[0]
-				box.Receive(from, directory.News{Origin: from, Sequence: 1, At: 5, Changes: []directory.Change{{Entry: entry("a")}}})
+				box.Receive(from, directory.Update{Origin: from, Sequence: 1, At: 5, Changes: []directory.Change{{Entry: entry("a")}}})
 				time.Sleep(c.away)
 				if c.failed {
 					box.noteFailed()
 				}
-				box.Receive(from, directory.News{Origin: from, Sequence: 2, After: 5, At: 6, Changes: []directory.Change{{Entry: entry("a"), Gone: true}}})
-				if w, _ := box.Directory().Word("a"); w.Usable() != c.usable {
+				box.Receive(from, directory.Update{Origin: from, Sequence: 2, After: 5, At: 6, Changes: []directory.Change{{Entry: entry("a"), Gone: true}}})
+				if w, _ := box.Directory().Status("a"); w.Usable() != c.usable {
 					t.Errorf("usable: %v", w.Usable())
 				}
-				time.Sleep(doubtTime + time.Millisecond)
+				time.Sleep(gracePeriod + time.Millisecond)
 				synctest.Wait()
-				if w, _ := box.Directory().Word("a"); w.Usable() {
+				if w, _ := box.Directory().Status("a"); w.Usable() {
 					t.Error("an endpoint that did not come back is still used")
 				}
 			})
--- a/coordination/dispatch/repeat.go
+++ b/coordination/dispatch/repeat.go
@@ -12,7 +12,7 @@
 
 	"runridge.example/runridge/coordination/dedup"
 	"runridge.example/runridge/coordination/owner"
-	"runridge.example/runridge/modules/pause"
+	"runridge.example/runridge/modules/sleep"
 	records "runridge.example/runridge/state/dedup"
 	"runridge.example/runridge/state/lifecycle"
 )
@@ -144,7 +144,7 @@
 		if p.Ended {
 			return v.joinEnd(p)
 		}
-		pause.For(ctx, joinEvery)
+		sleep.For(ctx, joinEvery)
 	}
 	return joinedLost
 }
--- a/coordination/follow/follow.go
+++ b/coordination/follow/follow.go
@@ -22,8 +22,8 @@
 
 	"runridge.example/runridge/coordination/adapter"
 	"runridge.example/runridge/modules/log"
-	"runridge.example/runridge/modules/pause"
 	"runridge.example/runridge/modules/ring"
+	"runridge.example/runridge/modules/sleep"
 	"runridge.example/runridge/state/table"
 )
 
@@ -343,13 +343,13 @@
 		if !f.watching() {
 			// What happened meanwhile came from others; the object is read anew.
 			version = 0
-			pause.For(ctx, watchLook)
+			sleep.For(ctx, watchLook)
 			continue
 		}
 		next, err := f.once(ctx, version)
 		if errors.Is(err, adapter.ErrHistoryGone) || errors.Is(err, errRefresh) {
 			version = 0
-			pause.For(ctx, pauses.NextBackOff())
+			sleep.For(ctx, pauses.NextBackOff())
 			continue
 		}
 		if time.Since(begun) > f.cfg.Settle {
@@ -367,7 +367,7 @@
 			break
 		}
 		f.cfg.Log.WithError(err).Warn("platform_watch_failed")
-		pause.For(ctx, pauses.NextBackOff())
+		sleep.For(ctx, pauses.NextBackOff())
 	}
 	return nil
 }
--- a/coordination/registry/registry.go
+++ b/coordination/registry/registry.go
@@ -17,7 +17,7 @@
 	"runridge.example/runridge/coordination/adapter"
 	members "runridge.example/runridge/coordination/member"
 	"runridge.example/runridge/modules/log"
-	"runridge.example/runridge/modules/pause"
+	"runridge.example/runridge/modules/sleep"
 	"runridge.example/runridge/state/member"
 )
 
@@ -100,7 +100,7 @@
 			entry, found := listed[k.cfg.Self.Name]
 			return found && entry.Address == k.cfg.Self.Address && entry.Zone == k.cfg.Self.Zone
 		}
-		pause.For(ctx, listLook)
+		sleep.For(ctx, listLook)
 	}
 	return false
 }
@@ -120,7 +120,7 @@
 			return
 		}
 		k.cfg.Log.WithError(err).Warn("box_register_failed")
-		pause.For(ctx, pauses.NextBackOff())
+		sleep.For(ctx, pauses.NextBackOff())
 	}
 }
 
--- a/coordination/relay/refuse.go
+++ b/coordination/relay/refuse.go
@@ -89,9 +89,9 @@
 		v.refuse(http.StatusBadGateway, res.reason, 0)
 	case len(v.refusals) > 0:
 		// The request's own group has booked the time to come back.
-		v.refuse(http.StatusServiceUnavailable, res.reason, v.comeBack(v.refusals[0].retryAfter))
+		v.refuse(http.StatusServiceUnavailable, res.reason, v.retryTime(v.refusals[0].retryAfter))
 	default:
-		v.refuse(http.StatusServiceUnavailable, res.reason, v.comeBack(res.retryAfter))
+		v.refuse(http.StatusServiceUnavailable, res.reason, v.retryTime(res.retryAfter))
 	}
 }
 
@@ -99,8 +99,8 @@
 // to wait; callers give up on more.
 const patienceShare = 0.32
 
-// comeBack is when the caller is told to come again.
-func (v *run) comeBack(after time.Duration) time.Duration {
+// retryTime is when the caller is told to come again.
+func (v *run) retryTime(after time.Duration) time.Duration {
 	return max(min(after, v.patience()), leastRetry)
 }
 
--- a/coordination/relay/run.go
+++ b/coordination/relay/run.go
@@ -312,7 +312,7 @@
 // request has not met.
 func (v *run) placeAlone() lifecycle.Plan {
 	var fit []string
-	for _, w := range v.r.cfg.Directory.Directory().Words(v.service.Name) {
+	for _, w := range v.r.cfg.Directory.Directory().Statuses(v.service.Name) {
 		if w.Usable() && w.Stage != directory.StagePrefill && !slices.Contains(v.avoid, w.ID) {
 			fit = append(fit, w.ID)
 		}
@@ -325,7 +325,7 @@
 
 // endpoint finds an endpoint that may get the request now.
 func (v *run) endpoint(id string) (Endpoint, bool) {
-	w, ok := v.r.cfg.Directory.Directory().Word(id)
+	w, ok := v.r.cfg.Directory.Directory().Status(id)
 	if !ok || !w.Usable() {
 		return Endpoint{}, false
 	}
--- a/coordination/watch/watch.go
+++ b/coordination/watch/watch.go
@@ -179,7 +179,7 @@
 }
 
 func (w *Watch) tell(group string, body home.Body) {
-	// News that finds no room comes again with the next look.
+	// An update that finds no room comes again with the next look.
 	_ = w.cfg.Homes.Offer(home.Command{Group: group, Body: body})
 }
 
--- a/modules/pause/pause.go
+++ b/modules/sleep/sleep.go
@@ -1,8 +1,8 @@
 // Copyright 2026 The Runridge Authors. All rights reserved.
 // SPDX-License-Identifier: MIT
 
-// Package pause waits for a while, or less if there is no reason to any more.
-package pause
+// Package sleep waits for a while, or less if there is no reason to any more.
+package sleep
 
 import (
 	"context"
--- a/protocol/boxwire/boxwire.go
+++ b/protocol/boxwire/boxwire.go
@@ -46,8 +46,8 @@
 	KindCopied
 	KindJoin
 	KindPiece
-	KindNews
-	KindNewsPull
+	KindUpdate
+	KindUpdatePull
 )
 
 const (
@@ -61,7 +61,7 @@
 
 // limit is the most that a message's body may have.
 func (k Kind) limit() int {
-	if k == KindChange || k == KindNews {
+	if k == KindChange || k == KindUpdate {
 		return MaxFrame
 	}
 	return maxSmall
@@ -101,21 +101,21 @@
 	Have uint64
 }
 
-// News tells what has changed among the endpoints. Generation is the sender's
+// Update tells what has changed among the endpoints. Generation is the sender's
 // table.
-type News struct {
-	News       directory.News
+type Update struct {
+	Update     directory.Update
 	Generation uint64
 }
 
-// NewsPull asks for the whole directory.
-type NewsPull struct{}
+// UpdatePull asks for the whole directory.
+type UpdatePull struct{}
 
-// Kind is KindNews.
-func (*News) Kind() Kind { return KindNews }
+// Kind is KindUpdate.
+func (*Update) Kind() Kind { return KindUpdate }
 
-// Kind is KindNewsPull.
-func (*NewsPull) Kind() Kind { return KindNewsPull }
+// Kind is KindUpdatePull.
+func (*UpdatePull) Kind() Kind { return KindUpdatePull }
 
 // Kind is KindHello.
 func (*Hello) Kind() Kind { return KindHello }
@@ -131,28 +131,28 @@
 
 // blanks makes an empty message of each kind.
 var blanks = map[Kind]func() Message{
-	KindHello:     func() Message { return &Hello{} },
-	KindAsk:       func() Message { return &Ask{} },
-	KindGrant:     func() Message { return &Grant{} },
-	KindRefuse:    func() Message { return &Refuse{} },
-	KindSlot:      func() Message { return &Slot{} },
-	KindPrefilled: func() Message { return &Prefilled{} },
-	KindDone:      func() Message { return &Done{} },
-	KindWithdraw:  func() Message { return &Withdraw{} },
-	KindMember:    func() Message { return &Member{} },
-	KindAdopt:     func() Message { return &Adopt{} },
-	KindCheck:     func() Message { return &Check{} },
-	KindQueued:    func() Message { return &Queued{} },
-	KindChange:    func() Message { return &Change{} },
-	KindPull:      func() Message { return &Pull{} },
-	KindClaim:     func() Message { return &Claim{} },
-	KindReply:     func() Message { return &Reply{} },
-	KindCopy:      func() Message { return &Copy{} },
-	KindCopied:    func() Message { return &Copied{} },
-	KindJoin:      func() Message { return &Join{} },
-	KindPiece:     func() Message { return &Piece{} },
-	KindNews:      func() Message { return &News{} },
-	KindNewsPull:  func() Message { return &NewsPull{} },
+	KindHello:      func() Message { return &Hello{} },
+	KindAsk:        func() Message { return &Ask{} },
+	KindGrant:      func() Message { return &Grant{} },
+	KindRefuse:     func() Message { return &Refuse{} },
+	KindSlot:       func() Message { return &Slot{} },
+	KindPrefilled:  func() Message { return &Prefilled{} },
+	KindDone:       func() Message { return &Done{} },
+	KindWithdraw:   func() Message { return &Withdraw{} },
+	KindMember:     func() Message { return &Member{} },
+	KindAdopt:      func() Message { return &Adopt{} },
+	KindCheck:      func() Message { return &Check{} },
+	KindQueued:     func() Message { return &Queued{} },
+	KindChange:     func() Message { return &Change{} },
+	KindPull:       func() Message { return &Pull{} },
+	KindClaim:      func() Message { return &Claim{} },
+	KindReply:      func() Message { return &Reply{} },
+	KindCopy:       func() Message { return &Copy{} },
+	KindCopied:     func() Message { return &Copied{} },
+	KindJoin:       func() Message { return &Join{} },
+	KindPiece:      func() Message { return &Piece{} },
+	KindUpdate:     func() Message { return &Update{} },
+	KindUpdatePull: func() Message { return &UpdatePull{} },
 }
 
 // Append adds the frame of a message to buf.
--- a/state/directory/directory.go
+++ b/state/directory/directory.go
@@ -35,8 +35,8 @@
 	Draining bool
 }
 
-// Word is an entry with what is known of its standing.
-type Word struct {
+// Status is an entry with what is known of its standing.
+type Status struct {
 	Entry
 	// Gone says that the platform does not list the endpoint any more; Since
 	// is when this was seen here. It may go on serving for a while.
@@ -44,23 +44,23 @@
 	Since time.Time
 	// Left says that the endpoint itself proved not to be this one any more.
 	Left bool
-	// Doubted says that the platform does not list the endpoint, and may list it
+	// InGrace says that the platform does not list the endpoint, and may list it
 	// again: its entry may have lapsed while the platform was away.
-	Doubted bool
+	InGrace bool
 }
 
 // Usable says whether the endpoint may get new work.
-func (w Word) Usable() bool { return !w.Gone && !w.Draining && !w.Left }
+func (w Status) Usable() bool { return !w.Gone && !w.Draining && !w.Left }
 
 // Directory is all that is known of endpoints.
 type Directory struct {
 	// revision counts the changes here.
 	revision uint64
 	// at is the platform's revision that the directory stands at.
-	at    uint64
-	words map[string]Word
-	// doubt is until when an entry that is missing may only have lapsed.
-	doubt time.Time
+	at       uint64
+	statuses map[string]Status
+	// graceUntil is until when an entry that is missing may only have lapsed.
+	graceUntil time.Time
 }
 
 // Change is one change that the platform told.
@@ -78,24 +78,24 @@
 // Known says whether the platform was ever heard.
 func (d Directory) Known() bool { return d.at > 0 }
 
-// Word finds an endpoint by id.
-func (d Directory) Word(id string) (Word, bool) {
-	w, ok := d.words[id]
+// Status finds an endpoint by id.
+func (d Directory) Status(id string) (Status, bool) {
+	w, ok := d.statuses[id]
 	return w, ok
 }
 
 // Len is the number of endpoints that are remembered, those gone included.
-func (d Directory) Len() int { return len(d.words) }
+func (d Directory) Len() int { return len(d.statuses) }
 
-// Words lists the endpoints of a service, in the order of their ids.
-func (d Directory) Words(service string) []Word {
-	var out []Word
-	for _, w := range d.words {
+// Statuses lists the endpoints of a service, in the order of their ids.
+func (d Directory) Statuses(service string) []Status {
+	var out []Status
+	for _, w := range d.statuses {
 		if w.Service == service {
 			out = append(out, w)
 		}
 	}
-	slices.SortFunc(out, func(a, b Word) int { return strings.Compare(a.ID, b.ID) })
+	slices.SortFunc(out, func(a, b Status) int { return strings.Compare(a.ID, b.ID) })
 	return out
 }
 
@@ -108,8 +108,8 @@
 		listed[e.ID] = true
 		changes = append(changes, Change{Entry: e})
 	}
-	for id, w := range d.words {
-		if !listed[id] && !w.Gone && !w.Doubted {
+	for id, w := range d.statuses {
+		if !listed[id] && !w.Gone && !w.InGrace {
 			changes = append(changes, Change{Entry: w.Entry, Gone: true})
 		}
 	}
@@ -126,28 +126,28 @@
 	next.at = at
 	changed := false
 	for _, c := range changes {
-		old, known := next.words[c.Entry.ID]
+		old, known := next.statuses[c.Entry.ID]
 		if c.Gone && !known {
 			continue
 		}
-		w := Word{Entry: c.Entry, Gone: c.Gone, Since: now, Left: old.Left}
+		w := Status{Entry: c.Entry, Gone: c.Gone, Since: now, Left: old.Left}
 		if c.Gone {
 			w.Entry = old.Entry
 		}
-		if c.Gone && now.Before(d.doubt) && !old.Gone {
-			w.Gone, w.Doubted = false, true
+		if c.Gone && now.Before(d.graceUntil) && !old.Gone {
+			w.Gone, w.InGrace = false, true
 		}
-		if known && w.Entry == old.Entry && w.Gone == old.Gone && w.Doubted == old.Doubted {
+		if known && w.Entry == old.Entry && w.Gone == old.Gone && w.InGrace == old.InGrace {
 			continue
 		}
 		if !changed {
-			next.words = maps.Clone(d.words)
-			if next.words == nil {
-				next.words = make(map[string]Word)
+			next.statuses = maps.Clone(d.statuses)
+			if next.statuses == nil {
+				next.statuses = make(map[string]Status)
 			}
 			changed = true
 		}
-		next.words[c.Entry.ID] = w
+		next.statuses[c.Entry.ID] = w
 	}
 	if changed {
 		next.revision++
@@ -158,13 +158,13 @@
 // WithLeft returns the directory after proof that the endpoint under an id is
 // not there any more: another one answered at its address.
 func (d Directory) WithLeft(id string) Directory {
-	w, ok := d.words[id]
+	w, ok := d.statuses[id]
 	if !ok || w.Left {
 		return d
 	}
 	w.Left = true
-	d.words = maps.Clone(d.words)
-	d.words[id] = w
+	d.statuses = maps.Clone(d.statuses)
+	d.statuses[id] = w
 	d.revision++
 	return d
 }
@@ -172,12 +172,12 @@
 // Without returns the directory without endpoints that have been gone for
 // longer than keep.
 func (d Directory) Without(now time.Time, keep time.Duration) Directory {
-	words := maps.Clone(d.words)
-	maps.DeleteFunc(words, func(_ string, w Word) bool { return w.Gone && now.Sub(w.Since) > keep })
-	if len(words) == len(d.words) {
+	statuses := maps.Clone(d.statuses)
+	maps.DeleteFunc(statuses, func(_ string, w Status) bool { return w.Gone && now.Sub(w.Since) > keep })
+	if len(statuses) == len(d.statuses) {
 		return d
 	}
-	d.words = words
+	d.statuses = statuses
 	d.revision++
 	return d
 }
@@ -209,7 +209,7 @@
 			continue
 		}
 		services[i] = withTargets(s, t.Routes)
-		for _, w := range d.Words(s.Name) {
+		for _, w := range d.Statuses(s.Name) {
 			if w.Gone || w.Left {
 				continue
 			}
@@ -279,7 +279,7 @@
 	return max(r.GapMS/e.TokensPerEvent, 1)
 }
 
-func endpointOf(s table.Service, w Word) table.Endpoint {
+func endpointOf(s table.Service, w Status) table.Endpoint {
 	e := table.Endpoint{
 		Name:    w.ID,
 		Zone:    w.Zone,
--- a/state/directory/directory_test.go
+++ b/state/directory/directory_test.go
@@ -23,18 +23,18 @@
 }
 
 func TestChanges(t *testing.T) {
-	convey.Convey("What is not on a list is gone, and older news changes nothing", t, func() {
+	convey.Convey("What is not on a list is gone, and an older update changes nothing", t, func() {
 		d := Directory{}.WithList(start, 10, []Entry{entry("a", "s", "1"), entry("b", "s", "2")})
 		convey.So(d.Known(), convey.ShouldBeTrue)
 		d = d.WithList(start, 12, []Entry{entry("a", "s", "1")})
-		w, _ := d.Word("b")
+		w, _ := d.Status("b")
 		convey.So(w.Usable(), convey.ShouldBeFalse)
 		older := d.WithChanges(start, 11, []Change{{Entry: entry("b", "s", "2")}})
-		w, _ = older.Word("b")
+		w, _ = older.Status("b")
 		convey.So(w.Usable(), convey.ShouldBeFalse)
 		convey.So(older.At(), convey.ShouldEqual, 12)
 	})
-	convey.Convey("The same news raises no revision", t, func() {
+	convey.Convey("The same update raises no revision", t, func() {
 		d := Directory{}.WithList(start, 10, []Entry{entry("a", "s", "1")})
 		again := d.WithChanges(start, 11, []Change{{Entry: entry("a", "s", "1")}})
 		convey.So(again.Revision(), convey.ShouldEqual, d.Revision())
@@ -45,7 +45,7 @@
 		e := entry("a", "s", "1")
 		e.Slots = 5
 		d = d.WithChanges(start, 11, []Change{{Entry: e}})
-		w, _ := d.Word("a")
+		w, _ := d.Status("a")
 		convey.So(w.Usable(), convey.ShouldBeFalse)
 	})
 	convey.Convey("The gone are forgotten after a while, the living never", t, func() {
@@ -138,14 +138,14 @@
 				d = d.WithChanges(start, uint64(to), changes)
 			default:
 				id := rapid.SampledFrom(ids).Draw(t, "left")
-				if _, known := d.Word(id); known {
+				if _, known := d.Status(id); known {
 					left[id] = true
 				}
 				d = d.WithLeft(id)
 			}
 			for _, id := range ids {
 				e, listed := history[d.At()].present[id]
-				w, known := d.Word(id)
+				w, known := d.Status(id)
 				if known && w.Usable() != (listed && !e.Draining && !left[id]) {
 					t.Fatalf("at %d: %s usable %v, listed %v draining %v left %v", d.At(), id, w.Usable(), listed, e.Draining, left[id])
 				}
--- a/state/directory/doubt.go
+++ b/state/directory/grace.go
@@ -8,33 +8,33 @@
 	"time"
 )
 
-// WithDoubt returns the directory of a box to which the platform has just come
+// WithGrace returns the directory of a box to which the platform has just come
 // back: entries that are missing until then may only have lapsed while it was
 // away, and their endpoints go on being used. Those that had said that they
 // leave get nothing all the same.
-func (d Directory) WithDoubt(until time.Time) Directory {
-	d.doubt = until
+func (d Directory) WithGrace(until time.Time) Directory {
+	d.graceUntil = until
 	return d
 }
 
-// Settled returns the directory once the time of doubt is over: what is still
+// WithoutGrace returns the directory once the grace period is over: what is still
 // missing is gone.
-func (d Directory) Settled(now time.Time) Directory {
-	if now.Before(d.doubt) {
+func (d Directory) WithoutGrace(now time.Time) Directory {
+	if now.Before(d.graceUntil) {
 		return d
 	}
 	next, changed := d, false
-	for id, w := range d.words {
-		if !w.Doubted {
+	for id, w := range d.statuses {
+		if !w.InGrace {
 			continue
 		}
 		if !changed {
-			next.words = maps.Clone(d.words)
+			next.statuses = maps.Clone(d.statuses)
 			next.revision++
 			changed = true
 		}
-		w.Doubted, w.Gone, w.Since = false, true, now
-		next.words[id] = w
+		w.InGrace, w.Gone, w.Since = false, true, now
+		next.statuses[id] = w
 	}
 	return next
 }
--- /dev/null
+++ b/state/directory/grace_test.go
@@ -0,0 +1,44 @@
+// Copyright 2026 The Runridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package directory
+
+import (
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+)
+
+func TestGrace(t *testing.T) {
+	begin := time.Unix(1000, 0)
+	listed := []Entry{{ID: "a", Service: "s"}, {ID: "b", Service: "s", Draining: true}}
+	known := Directory{}.WithList(begin, 1, listed).WithGrace(begin.Add(2 * time.Second))
+	gone := func(id string) []Change { return []Change{{Entry: Entry{ID: id}, Gone: true}} }
+	cases := map[string]struct {
+		directory Directory
+		id        string
+		usable    bool
+	}{
+		"missing in a list":                  {known.WithList(begin, 2, listed[1:]), "a", true},
+		"gone by a change":                   {known.WithChanges(begin, 2, gone("a")), "a", true},
+		"had said that it leaves":            {known.WithChanges(begin, 2, gone("b")), "b", false},
+		"still missing at the end":           {known.WithChanges(begin, 2, gone("a")).WithoutGrace(begin.Add(2 * time.Second)), "a", false},
+		"not the end yet":                    {known.WithChanges(begin, 2, gone("a")).WithoutGrace(begin.Add(time.Second)), "a", true},
+		"back before the end":                {known.WithChanges(begin, 2, gone("a")).WithList(begin, 3, listed).WithoutGrace(begin.Add(3 * time.Second)), "a", true},
+		"goes when there is no grace period": {known.WithChanges(begin.Add(3*time.Second), 2, gone("a")), "a", false},
+		"another is there at its place":      {known.WithChanges(begin, 2, gone("a")).WithLeft("a"), "a", false},
+		"told to others as gone":             {known.WithUpdate(begin, known.WithChanges(begin, 2, gone("a")).All()).WithoutGrace(begin.Add(2 * time.Second)), "a", false},
+		"says that it leaves, then goes":     {known.WithChanges(begin, 2, []Change{{Entry: Entry{ID: "a", Service: "s", Draining: true}}}).WithChanges(begin, 3, gone("a")), "a", false},
+		"said so in the same changes":        {known.WithChanges(begin, 3, []Change{{Entry: Entry{ID: "a", Service: "s", Draining: true}}, gone("a")[0]}), "a", false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			convey.Convey(name, t, func() {
+				w, ok := c.directory.Status(c.id)
+				convey.So(ok, convey.ShouldBeTrue)
+				convey.So(w.Usable(), convey.ShouldEqual, c.usable)
+			})
+		})
+	}
+}
--- a/state/directory/news.go
+++ b/state/directory/update.go
@@ -5,11 +5,11 @@
 
 import "time"
 
-// News is what a box that follows the platform's list tells the others: what
+// Update is what a box that follows the platform's list tells the others: what
 // has changed between two of the platform's revisions, or the whole list.
-type News struct {
+type Update struct {
 	// Origin is the box that read it from the platform, and Sequence tells its
-	// news apart; a later one has a higher number.
+	// updates apart; a later one has a higher number.
 	Origin   string
 	Sequence uint64
 	// After and At are the platform's revisions that the changes lie between.
@@ -22,12 +22,12 @@
 	Lost bool
 }
 
-// Fits says whether the news can be taken in without a gap.
-func (d Directory) Fits(n News) bool { return n.Whole || n.After <= d.at }
+// Fits says whether the update can be taken in without a gap.
+func (d Directory) Fits(n Update) bool { return n.Whole || n.After <= d.at }
 
-// WithNews returns the directory after news. News that is older than the
+// WithUpdate returns the directory after an update. One that is older than the
 // directory, or that leaves a gap after it, changes nothing.
-func (d Directory) WithNews(now time.Time, n News) Directory {
+func (d Directory) WithUpdate(now time.Time, n Update) Directory {
 	if n.At < d.at || !d.Fits(n) {
 		return d
 	}
@@ -41,11 +41,11 @@
 	return d.WithList(now, n.At, list)
 }
 
-// All is the directory as news: every endpoint that the platform lists.
-func (d Directory) All() News {
-	n := News{At: d.at, Whole: true}
-	for _, w := range d.words {
-		if !w.Gone && !w.Doubted {
+// All is the directory as an update: every endpoint that the platform lists.
+func (d Directory) All() Update {
+	n := Update{At: d.at, Whole: true}
+	for _, w := range d.statuses {
+		if !w.Gone && !w.InGrace {
 			n.Changes = append(n.Changes, Change{Entry: w.Entry})
 		}
 	}
--- a/state/directory/news_test.go
+++ b/state/directory/update_test.go
@@ -41,10 +41,10 @@
 	h.lists = append(h.lists, next)
 }
 
-// news draws news as a box at any revision could have told it.
-func (h *history) news(t *rapid.T) News {
+// update draws an update as a box at any revision could have told it.
+func (h *history) update(t *rapid.T) Update {
 	at := rapid.IntRange(1, len(h.lists)-1).Draw(t, "at")
-	n := News{At: uint64(at)}
+	n := Update{At: uint64(at)}
 	if rapid.Bool().Draw(t, "whole") {
 		n.Whole = true
 		for _, e := range h.lists[at] {
@@ -57,7 +57,7 @@
 	return n
 }
 
-func TestOracleNews(t *testing.T) {
+func TestOracleUpdates(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		h := &history{lists: []map[string]Entry{{}}}
 		for range rapid.IntRange(1, 30).Draw(t, "steps") {
@@ -65,18 +65,18 @@
 		}
 		now := time.Unix(0, 0)
 		var d Directory
-		for range rapid.IntRange(1, 12).Draw(t, "news") {
+		for range rapid.IntRange(1, 12).Draw(t, "updates") {
 			before := d.At()
-			d = d.WithNews(now, h.news(t))
+			d = d.WithUpdate(now, h.update(t))
 			if d.At() < before {
 				t.Fatalf("went back from revision %d to %d", before, d.At())
 			}
 			for id, e := range h.lists[d.At()] {
-				if w, ok := d.Word(id); !ok || w.Gone || w.Entry != e {
+				if w, ok := d.Status(id); !ok || w.Gone || w.Entry != e {
 					t.Fatalf("at revision %d %s is %+v, not %+v", d.At(), id, w, e)
 				}
 			}
-			for _, w := range d.Words("s") {
+			for _, w := range d.Statuses("s") {
 				if _, listed := h.lists[d.At()][w.ID]; !listed && !w.Gone {
 					t.Fatalf("at revision %d %s is still there", d.At(), w.ID)
 				}
@@ -85,15 +85,15 @@
 	})
 }
 
-func TestAllIsNews(t *testing.T) {
+func TestAllIsAnUpdate(t *testing.T) {
 	convey.Convey("What one box knows, another takes over whole, and what has gone stays out", t, func() {
 		now := time.Unix(0, 0)
 		d := Directory{}.WithList(now, 4, []Entry{{ID: "a", Service: "s"}, {ID: "b", Service: "s", Draining: true}})
 		d = d.WithChanges(now, 6, []Change{{Entry: Entry{ID: "a"}, Gone: true}})
-		other := Directory{}.WithNews(now, d.All())
+		other := Directory{}.WithUpdate(now, d.All())
 		convey.So(other.At(), convey.ShouldEqual, 6)
 		convey.So(other.Len(), convey.ShouldEqual, 1)
-		w, _ := other.Word("b")
+		w, _ := other.Status("b")
 		convey.So(w.Draining, convey.ShouldBeTrue)
 	})
 }
--- a/state/member/settled.go
+++ b/state/member/established.go
@@ -12,12 +12,12 @@
 // count as young.
 const youngBy = 5 * time.Second
 
-// Settled lists the names of the boxes that duties are best given to: all but
+// Established lists the names of the boxes that duties are best given to: all but
 // those that started well after half of the others. A duty that went back to
 // each box as it returns would move twice in every restart. Start is in
 // milliseconds; a box whose start is not known yet counts as settled, or boxes
 // that hear of each other in different orders would not agree.
-func Settled(boxes []Box) []string {
+func Established(boxes []Box) []string {
 	middle := medianStart(boxes)
 	out := make([]string, 0, len(boxes))
 	for _, b := range boxes {
--- a/state/member/settled_test.go
+++ b/state/member/established_test.go
@@ -9,7 +9,7 @@
 	"github.com/smartystreets/goconvey/convey"
 )
 
-func TestSettled(t *testing.T) {
+func TestEstablished(t *testing.T) {
 	cases := map[string]struct {
 		boxes []Box
 		want  []string
@@ -26,7 +26,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			convey.Convey(name, t, func() {
-				convey.So(Settled(c.boxes), convey.ShouldResemble, c.want)
+				convey.So(Established(c.boxes), convey.ShouldResemble, c.want)
 			})
 		})
 	}
--- a/state/member/member.go
+++ b/state/member/member.go
@@ -4,7 +4,7 @@
 // Package member is one box's view of the others: who is live, suspected,
 // dead or leaving. It follows the SWIM protocol (Das, Gupta, Motivala, 2002):
 // one probe a period, indirect probes through a few others, suspicion before
-// death, and news carried on the probes. It does no I/O and takes the time as
+// death, and updates carried on the probes. It does no I/O and takes the time as
 // an argument.
 package member
 
@@ -59,8 +59,8 @@
 	Indirect int
 	// SuspectPeriods is how many periods a suspect has to speak up.
 	SuspectPeriods int
-	// News bounds the items carried on one message.
-	News int
+	// Updates bounds the items carried on one message.
+	Updates int
 	// Forget is how long the dead are remembered.
 	Forget time.Duration
 	Seed   uint64
@@ -72,7 +72,7 @@
 	DefaultTimeout        = 150 * time.Millisecond
 	defaultIndirect       = 3
 	defaultSuspectPeriods = 3
-	defaultNews           = 6
+	defaultUpdates        = 6
 	defaultForget         = 2 * time.Minute
 )
 
@@ -89,8 +89,8 @@
 	if c.SuspectPeriods <= 0 {
 		c.SuspectPeriods = defaultSuspectPeriods
 	}
-	if c.News <= 0 {
-		c.News = defaultNews
+	if c.Updates <= 0 {
+		c.Updates = defaultUpdates
 	}
 	if c.Forget <= 0 {
 		c.Forget = defaultForget
@@ -124,8 +124,8 @@
 	// For is whose behalf an indirect probe or answer is on; empty is none.
 	For string
 	// Target is the box to probe in a request.
-	Target string
-	News   []Box
+	Target  string
+	Updates []Box
 }
 
 // MessageKind tells the messages apart.
@@ -260,7 +260,7 @@
 	e, known := v.boxes[b.Name]
 	if !known {
 		b.Incarnation = 0
-		// All boxes read the list, so this is no news to pass on.
+		// All boxes read the list, so this is no update to pass on.
 		v.boxes[b.Name] = &entry{Box: b, since: now, told: untold}
 		v.changed = true
 		return
--- a/state/member/member_test.go
+++ b/state/member/member_test.go
@@ -187,8 +187,8 @@
 	}
 }
 
-func TestNewsOfADeath(t *testing.T) {
-	convey.Convey("A refused connection is believed at once, and its news comes round", t, func() {
+func TestUpdatesOfADeath(t *testing.T) {
+	convey.Convey("A refused connection is believed at once, and the update of it comes round", t, func() {
 		w := newNet(50)
 		// A round of probes, after which each has heard of each first-hand. A
 		// death told before that is weaker than a suspicion with an incarnation.
@@ -203,10 +203,10 @@
 
 // settledBy is what a view takes for settled, as one string.
 func (w *net) settledBy(name string) string {
-	return strings.Join(Settled(w.views[name].Duty()), " ")
+	return strings.Join(Established(w.views[name].Duty()), " ")
 }
 
-func TestSettledIsTheSameEverywhere(t *testing.T) {
+func TestEstablishedIsTheSameEverywhere(t *testing.T) {
 	convey.Convey("Boxes that all start at once agree from the first moment on", t, func() {
 		w := newNet(40)
 		want := strings.Join(w.names, " ")
@@ -228,7 +228,7 @@
 		}
 		w.run(time.Second)
 		w.start("b09")
-		// Long enough for the news of it to be old.
+		// Long enough for the update of it to be old.
 		w.run(3 * time.Minute)
 		w.start("b07")
 		w.run(time.Second)
--- a/state/member/protocol.go
+++ b/state/member/protocol.go
@@ -67,7 +67,7 @@
 // sync tells another box all that this one knows first-hand or has heard.
 func (v *View) sync(to string) []Send {
 	s := v.send(to, Message{Kind: Sync})
-	s.Message.News = v.list(func(e *entry) bool { return e.Incarnation > 0 })
+	s.Message.Updates = v.list(func(e *entry) bool { return e.Incarnation > 0 })
 	return []Send{s}
 }
 
@@ -105,7 +105,7 @@
 	e.State, e.since, e.told = s, now, 0
 }
 
-// suspectTime grows with the logarithm of the fleet, as news needs that long
+// suspectTime grows with the logarithm of the fleet, as updates need that long
 // to come round.
 func (v *View) suspectTime() time.Duration {
 	rounds := max(bits.Len(uint(len(v.boxes)))-suspectBase, 1)
@@ -218,9 +218,9 @@
 	return out
 }
 
-// send fills in the news that a message carries.
+// send fills in the updates that a message carries.
 func (v *View) send(to string, m Message) Send {
-	m.News = v.news(to)
+	m.Updates = v.updates(to)
 	address := ""
 	if e, ok := v.boxes[to]; ok {
 		address = e.Address
@@ -228,10 +228,10 @@
 	return Send{To: to, Address: address, Message: m}
 }
 
-// news picks the least told words, this box's own first. Each is told a few
+// updates picks the least told words, this box's own first. Each is told a few
 // times for each doubling of the fleet and then no more, so that a quiet fleet
 // says almost nothing.
-func (v *View) news(to string) []Box {
+func (v *View) updates(to string) []Box {
 	limit := tellFactor * (bits.Len(uint(len(v.boxes))) + 1)
 	var fresh []*entry
 	for _, e := range v.boxes {
@@ -253,7 +253,7 @@
 	if e, ok := v.boxes[to]; ok && e.State != Live {
 		out = append(out, e.Box)
 	}
-	for _, e := range fresh[:min(len(fresh), v.cfg.News)] {
+	for _, e := range fresh[:min(len(fresh), v.cfg.Updates)] {
 		e.told++
 		out = append(out, e.Box)
 	}
@@ -265,7 +265,7 @@
 
 // Receive takes a message from a box and returns what to answer.
 func (v *View) Receive(now time.Time, from string, m Message) []Send {
-	for _, b := range m.News {
+	for _, b := range m.Updates {
 		v.merge(now, b)
 	}
 	switch m.Kind {
@@ -279,7 +279,7 @@
 		return v.sync(from)
 	case Sync:
 		// One that knows few boxes has just started itself.
-		v.synced = len(m.News)*2 >= len(v.boxes) || v.asks >= maxSyncs
+		v.synced = len(m.Updates)*2 >= len(v.boxes) || v.asks >= maxSyncs
 		return nil
 	default:
 		return nil
--- a/state/schedule/group.go
+++ b/state/schedule/group.go
@@ -48,10 +48,10 @@
 	unknown [unknownReports]int
 	reports int
 	// fullUntil is until when the engine gets nothing, having turned a request
-	// away; hidden is the memory that it must hold for others, seen at hiddenAt.
-	fullUntil int64
-	hidden    int
-	hiddenAt  int64
+	// away; unaccounted is the memory that it must hold for others, seen at unaccountedSince.
+	fullUntil        int64
+	unaccounted      int
+	unaccountedSince int64
 	// memory is the forecast of the engine's memory.
 	memory cachedForecast
 }
@@ -108,12 +108,12 @@
 	zoneShare []float64
 	// zoneUse is the work that each zone was granted, decayed.
 	zoneUse []usage
-	// asks counts first asks, decayed slowly; returns is when the next refused
+	// asks counts first asks, decayed slowly; nextReturn is when the next refused
 	// caller is told to come again.
 	asks usage
 	// recentAsks counts the same, decayed as fast as releases.
 	recentAsks usage
-	returns    int64
+	nextReturn int64
 	// serviceNS is the mean time for which a plain request holds its slot.
 	serviceNS float64
 	// releases counts decode slots that came free, decayed.
--- a/state/schedule/memory.go
+++ b/state/schedule/memory.go
@@ -45,8 +45,8 @@
 		}
 	}
 	for i := range g.engines {
-		if hidden := g.engines[i].hiddenBy(t); hidden > 0 && wanted(i) {
-			out[i] = append(out[i], load{held: hidden})
+		if unaccounted := g.engines[i].unaccountedAt(t); unaccounted > 0 && wanted(i) {
+			out[i] = append(out[i], load{held: unaccounted})
 		}
 	}
 	g.lost = slices.DeleteFunc(g.lost, func(gr *grant) bool {
@@ -64,9 +64,9 @@
 const (
 	// fullPause is how long an engine that turned a request away gets nothing.
 	fullPause = int64(100 * time.Millisecond)
-	// hiddenFor is how long memory that must be held for others is reckoned
+	// unaccountedFor is how long memory that must be held for others is reckoned
 	// with; it shrinks evenly over that time.
-	hiddenFor = int64(1500 * time.Millisecond)
+	unaccountedFor = int64(1500 * time.Millisecond)
 )
 
 // noteFull takes in that an engine turned a request away although the forecast
@@ -86,19 +86,19 @@
 	for _, l := range g.loadsOn(t, func(j int) bool { return j == i })[i] {
 		known += l.held
 	}
-	// What is known includes what was reckoned as hidden before.
-	e.hidden = e.hiddenBy(t) + max(e.spec.KVTokens-gr.ask.PromptTokens-known, 0)
-	e.hiddenAt = t
+	// What is known includes what was reckoned as such before.
+	e.unaccounted = e.unaccountedAt(t) + max(e.spec.KVTokens-gr.ask.PromptTokens-known, 0)
+	e.unaccountedSince = t
 	e.memory.drop()
 }
 
-// hiddenBy is the memory that the engine is reckoned to hold for others.
-func (e *engine) hiddenBy(t int64) int {
-	left := hiddenFor - (t - e.hiddenAt)
+// unaccountedAt is the memory that the engine is reckoned to hold for others.
+func (e *engine) unaccountedAt(t int64) int {
+	left := unaccountedFor - (t - e.unaccountedSince)
 	if left <= 0 {
 		return 0
 	}
-	return int(float64(e.hidden) * float64(left) / float64(hiddenFor))
+	return int(float64(e.unaccounted) * float64(left) / float64(unaccountedFor))
 }
 
 // loadOf is the memory of one grant.
--- a/state/schedule/memory_test.go
+++ b/state/schedule/memory_test.go
@@ -87,12 +87,12 @@
 	})
 }
 
-func TestComeBack(t *testing.T) {
+func TestRetryAfter(t *testing.T) {
 	convey.Convey("Refused callers are told to come one after the other", t, func() {
 		g := growing(1, 10_000)
 		last := time.Duration(0)
 		for range 10 {
-			after := g.comeBack(0, retryFloor, 0)
+			after := g.scheduleRetry(0, retryFloor, 0)
 			convey.So(after, convey.ShouldBeGreaterThan, last)
 			last = after
 		}
@@ -130,13 +130,13 @@
 	})
 }
 
-func TestComeBackWithinPatience(t *testing.T) {
+func TestRetryAfterWithinPatience(t *testing.T) {
 	convey.Convey("When more callers are refused than can be told a time of their own, the others come as late as they will", t, func() {
 		g := growing(1, 10_000)
 		const patience = 4 * time.Second
 		last, latest := time.Duration(0), 0
 		for range 200 {
-			after := g.comeBack(0, retryFloor, patience)
+			after := g.scheduleRetry(0, retryFloor, patience)
 			convey.So(after, convey.ShouldBeBetweenOrEqual, retryFloor, patience)
 			convey.So(after, convey.ShouldBeGreaterThanOrEqualTo, last)
 			last = after
@@ -149,10 +149,10 @@
 	convey.Convey("Once the rush is over, the next refused caller is told a short time again", t, func() {
 		g := growing(1, 10_000)
 		for range 200 {
-			g.comeBack(0, retryFloor, 4*time.Second)
+			g.scheduleRetry(0, retryFloor, 4*time.Second)
 		}
 		later := int64(10 * time.Second)
-		convey.So(g.comeBack(later, retryFloor, 4*time.Second), convey.ShouldBeLessThan, 2*time.Second)
+		convey.So(g.scheduleRetry(later, retryFloor, 4*time.Second), convey.ShouldBeLessThan, 2*time.Second)
 	})
 }
 
@@ -185,7 +185,7 @@
 				convey.So(decisions, convey.ShouldHaveLength, 1)
 				convey.So(describe(decisions[0]), convey.ShouldEqual, c.want)
 				convey.So(g.Waiting(), convey.ShouldEqual, 0)
-				convey.So(g.returns, convey.ShouldEqual, 0)
+				convey.So(g.nextReturn, convey.ShouldEqual, 0)
 			})
 		})
 	}
--- a/state/schedule/refuse.go
+++ b/state/schedule/refuse.go
@@ -15,7 +15,7 @@
 	refuse := func(reason lifecycle.Reason, after, wait int64) (Refuse, bool) {
 		retry := max(time.Duration(after), retryFloor)
 		if reason == lifecycle.ReasonHopeless && !w.ask.Spill && !w.late {
-			retry = g.comeBack(t, retry, w.ask.Patience)
+			retry = g.scheduleRetry(t, retry, w.ask.Patience)
 		}
 		return Refuse{Ask: w.ask, Reason: reason, RetryAfter: retry, Seen: g.inputs(w, t, wait)}, true
 	}
@@ -73,18 +73,18 @@
 	leastSpare = 0.25
 )
 
-// comeBack tells a refused caller when to come again: at the earliest after
+// scheduleRetry tells a refused caller when to come again: at the earliest after
 // the given wait, and each after the one before, at the rate that the group
 // can serve beside its usual asks. Those for whom the line is longer than they
 // will wait come as late as they will: they are late in any case, and the longer
 // a rush lasts the more are served after it.
-func (g *Group) comeBack(t int64, after, patience time.Duration) time.Duration {
+func (g *Group) scheduleRetry(t int64, after, patience time.Duration) time.Duration {
 	releases := max(g.releaseRate(t), minReleaseRate)
 	usual := g.asks.rate(t, asksHalfLife)
 	spare := max(releases-usual, releases*leastSpare)
-	next := max(g.returns, t+int64(after)) + int64(1/spare)
+	next := max(g.nextReturn, t+int64(after)) + int64(1/spare)
 	if patience <= 0 || next-t <= int64(patience) {
-		g.returns = next
+		g.nextReturn = next
 		return time.Duration(next - t)
 	}
 	return patience
@@ -169,7 +169,7 @@
 			out = append(out, Refuse{Ask: w.ask, Reason: lifecycle.ReasonHopeless, RetryAfter: max(time.Duration(wait), retryFloor), Seen: g.inputs(w, t, wait)})
 			continue
 		}
-		retry := g.comeBack(t, max(time.Duration(wait), retryFloor), w.ask.Patience)
+		retry := g.scheduleRetry(t, max(time.Duration(wait), retryFloor), w.ask.Patience)
 		out = append(out, Refuse{Ask: w.ask, Reason: lifecycle.ReasonHopeless, RetryAfter: retry, Seen: g.inputs(w, t, wait)})
 	}
 	return out
--- a/state/schedule/result.go
+++ b/state/schedule/result.go
@@ -27,7 +27,7 @@
 	for _, name := range gr.ask.Avoid {
 		if i, ok := g.index[name]; ok {
 			e := &g.engines[i]
-			e.fullUntil, e.hidden = 0, 0
+			e.fullUntil, e.unaccounted = 0, 0
 			e.memory.drop()
 		}
 	}
--- a/tests/mutants/routed.go
+++ b/tests/mutants/routed.go
@@ -117,7 +117,7 @@
 	},
 	{
 		name: "full_engine_offered", file: memoryFile, pkg: "./state/schedule", args: only("TestFullEngine"),
-		old: "	e.hidden = e.hiddenBy(t) + max(", fault: "	e.hidden = 0 * max(",
+		old: "	e.unaccounted = e.unaccountedAt(t) + max(", fault: "	e.unaccounted = 0 * max(",
 	},
 	{
 		name: "plain_caller_gone_unseen", file: "transport/callerhttp/gone.go", pkg: "./transport/callerhttp", args: []string{"-run=^TestGoneWatch$", "-timeout=10s"},
--- a/tests/mutants/shared.go
+++ b/tests/mutants/shared.go
@@ -4,18 +4,18 @@
 package main
 
 const (
-	settledFile  = "state/member/settled.go"
-	protocolFile = "state/member/protocol.go"
-	refuseFile   = "state/schedule/refuse.go"
-	queueFile    = "state/schedule/queue.go"
-	groupFile    = "state/schedule/group.go"
-	newsFile     = "state/directory/news.go"
-	shareFile    = "coordination/discover/share.go"
-	outageFile   = "coordination/discover/outage.go"
-	registryFile = "coordination/registry/registry.go"
-	coverFile    = "state/cover/cover.go"
-	lateFile     = "state/schedule/late.go"
-	homeFile     = "coordination/home/home.go"
+	establishedFile = "state/member/established.go"
+	protocolFile    = "state/member/protocol.go"
+	refuseFile      = "state/schedule/refuse.go"
+	queueFile       = "state/schedule/queue.go"
+	groupFile       = "state/schedule/group.go"
+	updateFile      = "state/directory/update.go"
+	shareFile       = "coordination/discover/share.go"
+	outageFile      = "coordination/discover/outage.go"
+	registryFile    = "coordination/registry/registry.go"
+	coverFile       = "state/cover/cover.go"
+	lateFile        = "state/schedule/late.go"
+	homeFile        = "coordination/home/home.go"
 
 	memberTests   = "./state/member"
 	scheduleTests = "./state/schedule"
@@ -28,15 +28,15 @@
 // duties, what endpoints there are, who is no more, and who comes back when.
 var sharedMutants = []mutant{
 	{
-		name: "unheard_start_counts_as_oldest", file: settledFile, pkg: memberTests, args: only("TestSettled"),
+		name: "unheard_start_counts_as_oldest", file: establishedFile, pkg: memberTests, args: only("TestEstablished"),
 		old: "if b.Start > 0 {", fault: "if true {",
 	},
 	{
-		name: "start_without_sync", file: protocolFile, pkg: memberTests, args: only("TestSettledIsTheSameEverywhere"),
+		name: "start_without_sync", file: protocolFile, pkg: memberTests, args: only("TestEstablishedIsTheSameEverywhere"),
 		old: "out := v.requestSync(now)", fault: "out := []Send(nil)",
 	},
 	{
-		name: "time_to_come_back_without_patience", file: refuseFile, pkg: scheduleTests, args: only("TestComeBackWithinPatience"),
+		name: "retry_time_without_patience", file: refuseFile, pkg: scheduleTests, args: only("TestRetryAfterWithinPatience"),
 		old: "if patience <= 0 || next-t <= int64(patience) {", fault: "if true {",
 	},
 	{
@@ -69,7 +69,7 @@
 	},
 	{
 		name: "lost_result_leaves_engines_full", file: "state/schedule/result.go", pkg: scheduleTests, args: only("TestLostResults"),
-		old: "e.fullUntil, e.hidden = 0, 0", fault: "_, _ = e.fullUntil, e.hidden",
+		old: "e.fullUntil, e.unaccounted = 0, 0", fault: "_, _ = e.fullUntil, e.unaccounted",
 	},
 	{
 		name: "callers_who_return_count_as_new", file: "coordination/relay/relay.go", pkg: "./coordination/relay", args: only("TestAgeOfReturningCallers"),
@@ -109,32 +109,32 @@
 		old: "		h.dropBefore(box, start)\n", fault: "		_, _ = box, start\n",
 	},
 	{
-		name: "news_with_a_gap", file: newsFile, pkg: "./state/directory", args: only("TestOracleNews"),
+		name: "update_with_a_gap", file: updateFile, pkg: "./state/directory", args: only("TestOracleUpdates"),
 		old: "return n.Whole || n.After <= d.at", fault: "return true",
 	},
 	{
-		name: "lapsed_entries_are_gone", file: directories, pkg: "./state/directory", args: only("TestDoubt"),
-		old: "c.Gone && now.Before(d.doubt) && !old.Gone", fault: "false && !old.Gone",
+		name: "lapsed_entries_are_gone", file: directories, pkg: "./state/directory", args: only("TestGrace"),
+		old: "c.Gone && now.Before(d.graceUntil) && !old.Gone", fault: "false && !old.Gone",
 	},
 	{
-		name: "doubt_without_end", file: "state/directory/doubt.go", pkg: "./state/directory", args: only("TestDoubt"),
-		old: "if now.Before(d.doubt) {", fault: "if true {",
+		name: "grace_without_end", file: "state/directory/grace.go", pkg: "./state/directory", args: only("TestGrace"),
+		old: "if now.Before(d.graceUntil) {", fault: "if true {",
 	},
 	{
-		name: "doubt_without_outage", file: outageFile, pkg: discoverTests, args: only("TestEntriesMayLapseInAnOutage"),
+		name: "grace_without_outage", file: outageFile, pkg: discoverTests, args: only("TestEntriesMayLapseInAnOutage"),
 		old: "over := d.outage.failed && away >= leastOutage", fault: "over := away >= leastOutage",
 	},
 	{
-		name: "lost_platform_covers", file: shareFile, pkg: discoverTests, args: only("TestNewsThatCoversNobody"),
+		name: "lost_platform_covers", file: shareFile, pkg: discoverTests, args: only("TestUpdatesThatCoverNobody"),
 		old: "covers := n.At >= d.known.At() && !n.Lost", fault: "covers := n.At >= d.known.At()",
 	},
 	{
-		name: "every_box_tells", file: shareFile, pkg: discoverTests, args: only("TestNewsReachesEveryBoxOnce"),
+		name: "every_box_tells", file: shareFile, pkg: discoverTests, args: only("TestUpdatesReachEveryBoxOnce"),
 		old: "d.cfg.Peers == nil || !d.decide(time.Now()).Tell", fault: "d.cfg.Peers == nil",
 	},
 	{
-		name: "missed_news_not_asked_for", file: shareFile, pkg: discoverTests, args: only("TestMissedNewsIsAskedFor"),
-		old: "		d.cfg.Peers.SendNewsPull(from)\n", fault: "		_ = from\n",
+		name: "missed_update_not_asked_for", file: shareFile, pkg: discoverTests, args: only("TestMissedUpdatesAreAskedFor"),
+		old: "		d.cfg.Peers.SendUpdatePull(from)\n", fault: "		_ = from\n",
 	},
 	{
 		name: "silence_covers", file: coverFile, pkg: coverTests, args: only("TestFleet"),
--- a/tests/routed/site_test.go
+++ b/tests/routed/site_test.go
@@ -142,7 +142,7 @@
 // left says whether a box knows that an endpoint gets nothing more. One answer
 // from another endpoint does not show it: they take turns.
 func (b *running) left(id string) bool {
-	word, known := b.Directory().Word(id)
+	word, known := b.Directory().Status(id)
 	return known && !word.Usable()
 }
 
