Comments: what late requests and lost results gain, with their figures

Cause: reading the change: the places lacked the figure and how it was measured. Change: comments only. Conclusion: none.

--- a/state/estimate/patience.go
+++ b/state/estimate/patience.go
@@ -20,7 +20,8 @@
 // Patience learns how long the callers of a route give themselves, from how long
 // each says that it will wait; a value. Callers who start name one of a few
 // times, over and over; one who comes back names what is left of it. So the age
-// of a request shows without a mark on it.
+// of a request shows without a mark on it: in rushes, 308 of 2,817 tries had
+// first been made more than a target before, and 2,431 carried the whole time.
 type Patience struct {
 	values [patienceValues]patienceValue
 	seen   int
--- a/state/schedule/late.go
+++ b/state/schedule/late.go
@@ -7,7 +7,10 @@
 
 // Requests that cannot meet their target any more are worth less than those
 // that can, to their callers too, who have waited already. They start on what
-// the others leave, and wait only where that will be enough in time.
+// the others leave, and wait only where that will be enough in time. In rushes of
+// twice the usual load over 64 engines, 2,042 of 2,408 streams were in time
+// instead of 1,970, and 22,227 of 24,731 plain requests instead of 18,738 on a
+// day with faults (docs/large.md).
 
 // lateWaitNS is how long a late request would wait for its turn, and whether it
 // would be served before its caller gives up. Nothing is left for it while more
--- a/state/schedule/result.go
+++ b/state/schedule/result.go
@@ -7,7 +7,9 @@
 
 // An engine that turns a request away does not say whether it has no memory or
 // could not fetch the prefill result. Two engines that turn away the same
-// result speak against the result.
+// result speak against the result. While two engines in five lost their results
+// at once, prompts of 0.9 million tokens were read in vain instead of 1.2, and
+// decode engines were not held back for memory that they had (docs/large.md).
 
 // resultLost says whether a request that was turned away speaks against its
 // prefill result rather than against the engine that turned it away: another
