Tests: late requests behind others with many of them, and patience in any order

Change: TestLateBehindOthers has more late requests than are tried, TestPatience the other order. Conclusion: no change of the product.

--- a/state/estimate/patience_test.go
+++ b/state/estimate/patience_test.go
@@ -15,14 +15,15 @@
 		left  time.Duration
 		want  time.Duration
 	}{
-		"nothing known":                         {left: 9 * time.Second},
-		"a time named once is not usual":        {named: []time.Duration{whole}, left: 9 * time.Second},
-		"one who starts":                        {named: []time.Duration{whole, whole}, left: whole},
-		"one who comes back":                    {named: []time.Duration{whole, whole}, left: 9500 * time.Millisecond, want: 4500 * time.Millisecond},
-		"one who starts with a shorter time":    {named: []time.Duration{whole, short, whole, short}, left: short},
-		"one who may have started with either":  {named: []time.Duration{whole, short, whole, short}, left: 5 * time.Second, want: time.Second},
-		"one who has longer than all":           {named: []time.Duration{whole, whole}, left: 20 * time.Second},
-		"one who may only have the longer time": {named: []time.Duration{whole, short, whole, short}, left: 8 * time.Second, want: 6 * time.Second},
+		"nothing known":                            {left: 9 * time.Second},
+		"a time named once is not usual":           {named: []time.Duration{whole}, left: 9 * time.Second},
+		"one who starts":                           {named: []time.Duration{whole, whole}, left: whole},
+		"one who comes back":                       {named: []time.Duration{whole, whole}, left: 9500 * time.Millisecond, want: 4500 * time.Millisecond},
+		"one who starts with a shorter time":       {named: []time.Duration{whole, short, whole, short}, left: short},
+		"one who starts with the time named first": {named: []time.Duration{short, whole, short, whole}, left: short},
+		"one who may have started with either":     {named: []time.Duration{whole, short, whole, short}, left: 5 * time.Second, want: time.Second},
+		"one who has longer than all":              {named: []time.Duration{whole, whole}, left: 20 * time.Second},
+		"one who may only have the longer time":    {named: []time.Duration{whole, short, whole, short}, left: 8 * time.Second, want: 6 * time.Second},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/state/schedule/late_test.go
+++ b/state/schedule/late_test.go
@@ -84,6 +84,12 @@
 		rates(g, now, 1, 50)
 		late, urgent := lateAsk(100), askOf(101, 1000, 1000)
 		convey.So(kindOf(g.Ask(now, late), late), convey.ShouldEqual, "queue")
+		// More than are tried for one place.
+		for n := range uint64(2 * tries) {
+			other := lateAsk(200 + n)
+			other.GiveUp += time.Duration(n) * time.Millisecond
+			convey.So(kindOf(g.Ask(now, other), other), convey.ShouldEqual, "queue")
+		}
 		urgent.Priority, urgent.Deadline = -3, 4*time.Second
 		convey.So(kindOf(g.Ask(now, urgent), urgent), convey.ShouldEqual, "queue")
 		out := g.Done(now.Add(time.Millisecond), Report{ID: askOf(0, 0, 0).ID, Finished: true})
