Reading of the change: one count of readers, one ranking of boxes for an update

Cause: the last reading found the number of boxes that read the platform twice (follow.watchers and cover.Readers), boxes ranked twice for each update that is taken in, and two branches that set the same. Change: follow uses cover.Readers; an update's own and origin's places come from one ranking; Cover.WithRead has one branch. Behaviour is the same.

--- a/coordination/discover/share.go
+++ b/coordination/discover/share.go
@@ -55,7 +55,10 @@
 
 // place is where a box stands in the order of those that read the platform.
 func (d *Discoverer) place(box string) cover.Place {
-	order := d.cfg.Ranked(rankKey)
+	return placeIn(d.cfg.Ranked(rankKey), box)
+}
+
+func placeIn(order []string, box string) cover.Place {
 	return cover.Place{Rank: slices.Index(order, box), Boxes: len(order)}
 }
 
@@ -191,7 +194,8 @@
 // take puts an update that fits into force. One that is not older than what is
 // known here covers this box, unless it tells that the platform is lost.
 func (d *Discoverer) take(now time.Time, n directory.Update) {
-	own, origin := d.place(d.cfg.Self), d.place(n.Origin)
+	order := d.cfg.Ranked(rankKey)
+	own, origin := placeIn(order, d.cfg.Self), placeIn(order, n.Origin)
 	d.mutex.Lock()
 	covers := n.At >= d.known.At() && !n.Lost
 	if covers {
--- a/coordination/follow/follow.go
+++ b/coordination/follow/follow.go
@@ -24,6 +24,7 @@
 	"runridge.example/runridge/modules/log"
 	"runridge.example/runridge/modules/ring"
 	"runridge.example/runridge/modules/sleep"
+	"runridge.example/runridge/state/cover"
 	"runridge.example/runridge/state/table"
 )
 
@@ -75,8 +76,6 @@
 	defaultSettle = 1500 * time.Millisecond
 	firstPause    = 50 * time.Millisecond
 	longestPause  = 2 * time.Second
-	// watchers is how many boxes watch the platform.
-	watchers = 3
 	// watchLook is how often a box looks whether it has become one of them.
 	watchLook = 200 * time.Millisecond
 	// fanout is how many boxes one passes a change on to.
@@ -327,7 +326,7 @@
 		return f.cfg.Reads()
 	}
 	order := f.cfg.Ranked(ObjectName)
-	return slices.Contains(order[:min(watchers, len(order))], f.cfg.Self)
+	return slices.Contains(order[:min(cover.Readers, len(order))], f.cfg.Self)
 }
 
 // Run watches the platform's object until the context ends.
--- a/state/cover/cover.go
+++ b/state/cover/cover.go
@@ -156,14 +156,9 @@
 // in for the readers.
 func (c Cover) WithRead(now time.Time, p Place, worked bool, chance float64) Cover {
 	c.standIn = worked && !p.reader() && (c.heard.IsZero() || now.Sub(c.heard) >= Validity)
-	if worked {
-		c.try = time.Time{}
-		return c
-	}
-	if c.Lost(now) {
+	c.try = time.Time{}
+	if !worked && c.Lost(now) {
 		c.try = nextTry(now, p, chance)
-	} else {
-		c.try = time.Time{}
 	}
 	return c
 }
