Client accounts: keys by digest, and quotas that a home lends over all boxes

Cause: routed services knew no client accounts.

Unknown keys get 401, or 503 while a newer table is known of or the table was not confirmed for 6 s. Quotas: the first box in an account's rank keeps a token bucket for all and lends to boxes by their use; loans end within the overage; the second in rank stands in for a home that it cannot reach either; new homes start empty.

--- a/box/box.go
+++ b/box/box.go
@@ -203,7 +203,11 @@
 		OnRefused:   func(box string) { b.members.Refused(box) },
 		Log:         o.Log,
 	})
-	others := peers{net: b.net, generation: func() uint64 { return b.follower.Table().Generation }}
+	others := peers{
+		net:        b.net,
+		generation: func() uint64 { return b.follower.Table().Generation },
+		age:        func() time.Duration { return b.follower.Age() },
+	}
 	b.others = others
 	b.router = home.NewRouter(s.Name, others)
 	b.follower = follow.New(follow.Config{
@@ -282,6 +286,7 @@
 		OnChange: b.membersChanged,
 		OnPause: func() {
 			b.homes.Paused()
+			b.pauseRouted()
 			b.keeper.Distrust()
 		},
 		Log: o.Log,
@@ -374,6 +379,9 @@
 // Offer takes a table as another box would hand it over.
 func (b *Box) Offer(t table.Table) { b.follower.Offer(t) }
 
+// Heard takes in the generation that another box has in force, as its messages do.
+func (b *Box) Heard(from string, generation uint64) { b.follower.Heard(from, generation) }
+
 // Active is the number of requests under way.
 func (b *Box) Active() int {
 	if b.routed == nil {
@@ -516,6 +524,7 @@
 	b.homes.LiveChanged(lost)
 	b.dispatch.Rehome()
 	if b.routed != nil {
+		b.routed.quotas.FleetChanged()
 		b.routed.relay.Rehome()
 	}
 }
--- a/box/routed.go
+++ b/box/routed.go
@@ -17,6 +17,7 @@
 	"runridge.example/runridge/coordination/dispatch"
 	"runridge.example/runridge/coordination/follow"
 	members "runridge.example/runridge/coordination/member"
+	"runridge.example/runridge/coordination/quota"
 	"runridge.example/runridge/coordination/registry"
 	"runridge.example/runridge/coordination/relay"
 	"runridge.example/runridge/modules/ring"
@@ -27,6 +28,7 @@
 	"runridge.example/runridge/protocol/relayapi"
 	"runridge.example/runridge/state/directory"
 	"runridge.example/runridge/state/lifecycle"
+	limits "runridge.example/runridge/state/quota"
 	"runridge.example/runridge/state/retry"
 	"runridge.example/runridge/state/schedule"
 	"runridge.example/runridge/state/table"
@@ -51,6 +53,7 @@
 type routed struct {
 	platform   RelayPlatform
 	relay      *relay.Relay
+	quotas     *quota.Keeper
 	server     *relayhttp.Server
 	endpoints  *upstream.Client
 	discoverer *discover.Discoverer
@@ -92,12 +95,22 @@
 		Ranked:   b.router.Ranked,
 		Log:      b.options.Log,
 	})
+	r.quotas = quota.New(quota.Config{
+		Self:   b.settings.Name,
+		Peers:  b.others,
+		Ranked: b.router.OwnersOf,
+		Fleet:  b.fleet,
+		Bound:  quotaBoundOf(s),
+		Log:    b.options.Log,
+	})
 	r.relay = relay.New(relay.Config{
 		Box:          b.settings.Name,
 		Zone:         b.settings.Zone,
 		Endpoints:    r.endpoints,
 		Homes:        b.router,
 		Directory:    r.discoverer,
+		Quotas:       r.quotas,
+		Current:      b.follower.Current,
 		ParsePrefill: names.ParsePrefill,
 		NextID:       b.dispatch.NextID,
 		Boxes:        func() int { return b.knownBoxes() + spareBoxes },
@@ -130,6 +143,23 @@
 	return max(len(s.All), len(s.Listed))
 }
 
+// fleet is how many boxes this one sees of all that there may be; it cannot tell
+// before the platform's list was read.
+func (b *Box) fleet() quota.Fleet {
+	s := b.members.Snapshot()
+	if s.Listed == nil {
+		return quota.Fleet{}
+	}
+	return quota.Fleet{Seen: b.router.Live(), All: max(len(s.All), len(s.Listed))}
+}
+
+// pauseRouted ends what this box may have counted for others while it stood still.
+func (b *Box) pauseRouted() {
+	if b.routed != nil {
+		b.routed.quotas.Paused()
+	}
+}
+
 // connectionShare is this box's part of the connections to one endpoint.
 func (b *Box) connectionShare(service string) int {
 	s, ok := b.follower.Table().Service(service)
@@ -146,6 +176,7 @@
 	b.inForce = t
 	if b.routed != nil {
 		b.routed.relay.SetTable(t)
+		b.routed.quotas.SetTable(t)
 	}
 	b.merge()
 }
@@ -356,6 +387,7 @@
 	b.lingerMS.Store(int64(s.LingerMS))
 	if b.routed != nil {
 		b.routed.relay.SetBudget(budgetOf(s.Relay))
+		b.routed.quotas.SetBound(quotaBoundOf(s.Relay))
 	}
 }
 
@@ -373,6 +405,15 @@
 	}
 }
 
+// quotaBoundOf is what the settings allow beyond a quota.
+func quotaBoundOf(s setting.Relay) limits.Bound {
+	return limits.Bound{
+		Window:  time.Duration(s.QuotaWindowSeconds * float64(time.Second)),
+		Overage: s.QuotaOverage,
+		Slack:   s.QuotaSlack,
+	}
+}
+
 // stopTaking ends the listener and the connections on which no request is
 // under way; what is under way goes on to its end.
 func (b *Box) stopTaking() {
--- a/box/wire.go
+++ b/box/wire.go
@@ -7,7 +7,9 @@
 	"fmt"
 	"time"
 
+	"runridge.example/runridge/coordination/follow"
 	"runridge.example/runridge/coordination/home"
+	"runridge.example/runridge/coordination/quota"
 	"runridge.example/runridge/modules/log"
 	"runridge.example/runridge/modules/ring"
 	"runridge.example/runridge/protocol/boxwire"
@@ -23,6 +25,8 @@
 type peers struct {
 	net        *boxnet.Net
 	generation func() uint64
+	// age is how long ago the platform confirmed the table in force.
+	age func() time.Duration
 }
 
 // SendCommand sends a command to a home on another box.
@@ -42,7 +46,34 @@
 
 // SendMember sends a membership message with the table's generation.
 func (p peers) SendMember(box string, m member.Message) ring.Outcome {
-	return p.net.Send(box, &boxwire.Member{Message: m, Generation: p.generation()})
+	return p.net.Send(box, &boxwire.Member{Message: m, Generation: p.generation(), AgeMS: ageMS(p.age())})
+}
+
+// ageMS is an age on the wire; -1 is not known.
+func ageMS(age time.Duration) int64 {
+	if age == follow.NeverConfirmed {
+		return -1
+	}
+	return age.Milliseconds()
+}
+
+// ageOf reads an age from the wire.
+func ageOf(ms int64) time.Duration {
+	if ms < 0 {
+		return follow.NeverConfirmed
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
+// SendAsk asks the home of an account for part of its quota.
+func (p peers) SendAsk(to string, a quota.Ask) ring.Outcome {
+	return p.net.Send(to, boxwire.FromQuotaAsk(a))
+}
+
+// SendAnswer answers such an ask.
+func (p peers) SendAnswer(to string, a quota.Answer) {
+	// One that is lost is asked for again.
+	_ = p.net.Send(to, boxwire.FromQuotaAnswer(a))
 }
 
 // SendChange sends a change of the table to other boxes.
@@ -129,6 +160,15 @@
 	case *boxwire.Member:
 		_ = b.members.Receive(from, m.Message)
 		b.follower.Heard(from, m.Generation)
+		b.follower.Confirmed(m.Generation, ageOf(m.AgeMS))
+	case *boxwire.QuotaAsk:
+		if b.routed != nil {
+			b.routed.quotas.Receive(from, m.Ask(sender))
+		}
+	case *boxwire.QuotaAnswer:
+		if b.routed != nil {
+			b.routed.quotas.Answered(from, m.Answer(self))
+		}
 	case *boxwire.Change:
 		b.receiveChange(from, m)
 	case *boxwire.Pull:
--- a/coordination/follow/follow.go
+++ b/coordination/follow/follow.go
@@ -100,6 +100,9 @@
 	past     []table.Table
 	watchers []func(table.Table)
 	heard    time.Time
+	// confirmed is when the platform had no newer table than the one in force, as
+	// far as this box or another has told.
+	confirmed time.Time
 	// pending is the newest table offered before the gate opened.
 	pending table.Table
 	open    bool
@@ -391,6 +394,7 @@
 	}
 	call, cancel := context.WithTimeout(ctx, bound)
 	defer cancel()
+	begun := time.Now()
 	if version > 0 {
 		go f.endOnRefresh(call, cancel)
 	}
@@ -406,6 +410,7 @@
 	f.mutex.Unlock()
 	next := max(o.Version, o.At)
 	if len(o.Value) == 0 {
+		f.confirm(begun)
 		return max(version, next), nil
 	}
 	t, err := Decode(o)
@@ -422,18 +427,27 @@
 		f.mutex.Unlock()
 		return next, nil
 	}
+	old := f.mayBeOld(version)
 	f.Offer(t)
+	if !old {
+		f.confirm(begun)
+	}
 	if f.cfg.FirstAtOnce && version == 0 {
 		f.tryOpen(true)
 	}
 	return next, nil
 }
 
+// mayBeOld says whether the object is read as it may have stood some time ago.
+func (f *Follower) mayBeOld(version uint64) bool {
+	return version == 0 && f.cfg.FirstAtOnce && f.Table().Generation == 0
+}
+
 // get reads the object, or waits for a newer version. A box without a table
 // takes one that may be old: a newer generation is asked for as soon as another
 // box names it, and a box that reads the platform itself goes on from there.
 func (f *Follower) get(ctx context.Context, version uint64) (adapter.Object, error) {
-	if version == 0 && f.cfg.FirstAtOnce && f.Table().Generation == 0 {
+	if f.mayBeOld(version) {
 		return f.cfg.Platform.GetOld(ctx, ObjectName)
 	}
 	return f.cfg.Platform.Get(ctx, ObjectName, version)
--- a/coordination/home/router.go
+++ b/coordination/home/router.go
@@ -37,6 +37,9 @@
 	live  atomic.Pointer[[]string]
 	// settled are the live boxes that homes are chosen from.
 	settled atomic.Pointer[[]string]
+	// owners are the first boxes in the rank of the keys that were asked for since
+	// the boxes last changed.
+	owners atomic.Pointer[sync.Map]
 
 	// mutex guards the two that homes are worked out from.
 	mutex  sync.Mutex
@@ -66,6 +69,7 @@
 	defer r.mutex.Unlock()
 	r.live.Store(&live)
 	r.settled.Store(&settled)
+	r.owners.Store(&sync.Map{})
 	r.assign()
 }
 
@@ -103,6 +107,23 @@
 	return Rank(key, live, len(live))
 }
 
+// ownersOfKey is how many boxes may have the duty of a key: the first, and the one
+// that stands in for it.
+const ownersOfKey = 2
+
+// OwnersOf lists the boxes for a duty that belongs to a key, the first one first.
+// They are worked out once for each change of the boxes: ranking 300 of them takes
+// 30 us, and some duties are asked for with each request.
+func (r *Router) OwnersOf(key string) []string {
+	known := r.owners.Load()
+	if ranked, ok := known.Load(key); ok {
+		return ranked.([]string)
+	}
+	ranked := Rank(key, *r.settled.Load(), ownersOfKey)
+	known.Store(key, ranked)
+	return ranked
+}
+
 // GroupsOf lists the groups of a service. They are worked out once for each
 // table, and not for each request.
 func (r *Router) GroupsOf(service string) []table.Group {
--- a/coordination/relay/exchange.go
+++ b/coordination/relay/exchange.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"runridge.example/runridge/coordination/adapter"
@@ -57,6 +58,9 @@
 	if !ok {
 		return result{kind: unsent, endpoint: id, reason: "engine_left"}
 	}
+	if v.withdrawn() {
+		return result{kind: refused, reason: reasonKeyWithdrawn}
+	}
 	if !v.spend(v.prefills) {
 		return result{kind: refused, reason: "retry_budget", retryAfter: leastRetry}
 	}
@@ -111,20 +115,36 @@
 		Target:    v.q.Target,
 		Host:      v.q.Host,
 		RequestID: v.q.ID,
-		Header:    v.q.Header,
+		Header:    v.header(),
 		Body:      v.q.Body,
 		HasBody:   v.q.HasBody,
 		Left:      time.Until(v.deadline),
 		LastEvent: v.lastEvent,
+		Account:   v.accountName(),
 	}
 }
 
+// header are the fields that travel with the request. What the caller showed for
+// itself is among them only where no table of this box ever had accounts.
+func (v *run) header() []Field {
+	v.r.mutex.Lock()
+	keyed := v.r.keyed
+	v.r.mutex.Unlock()
+	if keyed || len(v.q.Credential.Opaque) == 0 {
+		return v.q.Header
+	}
+	return slices.Concat(v.q.Header, v.q.Credential.Opaque)
+}
+
 // send sends the request to an endpoint and passes its answer on.
 func (v *run) send(ctx context.Context, id, source string) result {
 	e, ok := v.endpoint(id)
 	if !ok {
 		return result{kind: unsent, endpoint: id, reason: "endpoint_left"}
 	}
+	if v.withdrawn() {
+		return result{kind: refused, reason: reasonKeyWithdrawn}
+	}
 	if !v.spend(v.sends) {
 		return result{kind: refused, reason: "retry_budget", retryAfter: leastRetry}
 	}
--- a/coordination/relay/record.go
+++ b/coordination/relay/record.go
@@ -24,6 +24,10 @@
 		"runs":           v.runs,
 		"ms":             v.r.cfg.Now().Sub(v.q.Arrived).Milliseconds(),
 	}
+	if v.account != nil {
+		fields["account"] = v.account.Name
+		fields["charged"] = v.charged
+	}
 	if v.q.Prompt.Tokens > 0 {
 		fields["prompt_tokens"] = v.q.Prompt.Tokens
 		fields["output_tokens"] = v.q.Prompt.Output
--- a/coordination/relay/relay.go
+++ b/coordination/relay/relay.go
@@ -13,9 +13,11 @@
 	"time"
 
 	"runridge.example/runridge/coordination/home"
+	"runridge.example/runridge/coordination/quota"
 	"runridge.example/runridge/modules/log"
 	"runridge.example/runridge/modules/metric"
 	"runridge.example/runridge/modules/ring"
+	"runridge.example/runridge/state/account"
 	"runridge.example/runridge/state/directory"
 	"runridge.example/runridge/state/estimate"
 	"runridge.example/runridge/state/lifecycle"
@@ -39,6 +41,13 @@
 	Left(id string)
 }
 
+// Quotas admits requests within their accounts' quotas over all boxes.
+type Quotas interface {
+	Admit(ctx context.Context, u quota.Use) quota.Verdict
+	// GiveBack returns the cost of a request that reached no endpoint.
+	GiveBack(account string, cost float64)
+}
+
 // Metrics counts requests.
 type Metrics interface {
 	RequestEnded(e metric.Ended)
@@ -49,6 +58,8 @@
 	Gap(service string, longest time.Duration)
 	// BudgetDenied counts a retry that the budget did not allow.
 	BudgetDenied(service string)
+	// QuotaDecided counts a decision on an account's quota.
+	QuotaDecided(account, outcome string)
 }
 
 // Config configures a Relay.
@@ -58,6 +69,9 @@
 	Endpoints Endpoints
 	Homes     Homes
 	Directory Directory
+	Quotas    Quotas
+	// Current says whether the table in force is known to be the newest.
+	Current func() bool
 	// ParsePrefill reads an engine's answer to a prefill: the handle and the
 	// number of tokens.
 	ParsePrefill func(body []byte) (handle string, tokens int, err error)
@@ -78,11 +92,15 @@
 	cfg     Config
 	started time.Time
 
-	mutex   sync.Mutex
-	index   route.Index
-	table   table.Table
-	runs    map[lifecycle.RequestID]*run
-	budgets map[string]retry.Budget
+	mutex sync.Mutex
+	index route.Index
+	table table.Table
+	// accounts are those of the table; keyed says that a table of this process
+	// had any.
+	accounts account.Index
+	keyed    bool
+	runs     map[lifecycle.RequestID]*run
+	budgets  map[string]retry.Budget
 	// patience is how long the callers of each route say they will wait.
 	patience map[string]estimate.Patience
 }
@@ -110,11 +128,13 @@
 
 // SetTable puts a table into force.
 func (r *Relay) SetTable(t table.Table) {
-	index := route.NewIndex(t)
+	index, accounts := route.NewIndex(t), account.NewIndex(t)
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.index = index
 	r.table = t
+	r.accounts = accounts
+	r.keyed = r.keyed || accounts.Any()
 }
 
 func (r *Relay) current() (route.Index, table.Table) {
--- a/coordination/relay/run.go
+++ b/coordination/relay/run.go
@@ -48,6 +48,10 @@
 	// group is written under the mutex: rehome reads it too.
 	group    string
 	deadline time.Time
+	// account holds the request's key; nil is none. charged is the cost that was
+	// taken from its quota.
+	account *table.Account
+	charged float64
 
 	decisions chan decided
 	moved     chan struct{}
@@ -157,6 +161,9 @@
 	}
 	v.route, v.generation = found, index.Generation()
 	v.service, _ = t.Service(route.Pick(found, v.q.ID))
+	if !v.identify() {
+		return
+	}
 	v.r.noteRequest(v.service.Name)
 	v.deadline = v.q.Arrived.Add(found.Timeout())
 	if v.q.Wait > 0 && v.q.Wait < found.Timeout() {
@@ -166,6 +173,10 @@
 	v.late = v.age >= found.Target() && v.mayBeLate()
 	ctx, cancel := context.WithDeadlineCause(ctx, v.deadline, errTimeout)
 	defer cancel()
+	if !v.admitted(ctx) {
+		return
+	}
+	defer v.refund()
 	defer v.free()
 	for {
 		res := v.try(ctx)
@@ -283,7 +294,8 @@
 	a := schedule.Ask{
 		ID:       lifecycle.AttemptID{Request: v.id, Number: v.attempt},
 		Box:      v.r.cfg.Box,
-		Priority: -v.route.Priority,
+		Account:  v.accountName(),
+		Priority: -v.priority(),
 		Resume:   v.begun || v.q.LastEvent != "",
 		Avoid:    slices.Clone(v.avoid),
 	}
--- a/coordination/relay/types.go
+++ b/coordination/relay/types.go
@@ -7,6 +7,8 @@
 	"context"
 	"io"
 	"time"
+
+	"runridge.example/runridge/state/account"
 )
 
 // Field is one header.
@@ -27,6 +29,17 @@
 	Hint int
 }
 
+// Credential is what a caller shows for itself: the digest of its key. The key
+// itself ends where the request was read.
+type Credential struct {
+	// Valid says that the caller showed one key in its proper form.
+	Valid bool
+	Key   account.Digest
+	// Opaque are the caller's fields as they came. They are passed on only by a
+	// table that never had accounts, where they belong to the services.
+	Opaque []Field
+}
+
 // Request is one opaque request as it came from a caller.
 type Request struct {
 	// ID is the caller's own id of this attempt.
@@ -36,6 +49,7 @@
 	Host, Path, Target string
 	Method             string
 	Header             []Field
+	Credential         Credential
 	Body               []byte
 	// HasBody says that the request had a body, if an empty one.
 	HasBody bool
@@ -67,6 +81,8 @@
 	// Source is where the engine fetches the prompt's KV cache.
 	Source    string
 	LastEvent string
+	// Account is the client account of the request; empty is none.
+	Account string
 	// Control marks a call that is no request of a caller's and has no id.
 	Control bool
 }
@@ -135,6 +151,8 @@
 type Refusal struct {
 	Status int
 	Reason string
+	// Challenge says that the caller has to show a key.
+	Challenge bool
 	// RetryAfter is when to come again, for a request that has not run.
 	RetryAfter time.Duration
 }
--- a/modules/metric/metric.go
+++ b/modules/metric/metric.go
@@ -38,6 +38,8 @@
 	attempts   metric.Int64Counter
 	sends      metric.Int64Counter
 	denied     metric.Int64Counter
+	quotas     metric.Int64Counter
+	accounts   labels
 	calls      metric.Int64Counter
 	gap        metric.Float64Histogram
 	callTime   metric.Float64Histogram
@@ -106,6 +108,9 @@
 	if m.denied, err = meter.Int64Counter("runridge.retries.denied", metric.WithUnit("{retry}"), metric.WithDescription("Retries that the budget did not allow.")); err != nil {
 		return err
 	}
+	if m.quotas, err = meter.Int64Counter("runridge.quota.decisions", metric.WithUnit("{request}"), metric.WithDescription("Decisions on accounts' quotas, by account and outcome.")); err != nil {
+		return err
+	}
 	if m.calls, err = meter.Int64Counter("runridge.platform.calls", metric.WithUnit("{call}"), metric.WithDescription("Calls to the platform, by call and result.")); err != nil {
 		return err
 	}
@@ -135,6 +140,13 @@
 	m.denied.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service)))
 }
 
+// QuotaDecided counts a decision on an account's quota. Accounts beyond the first
+// maxLabels are counted together.
+func (m *Metrics) QuotaDecided(account, outcome string) {
+	m.quotas.Add(context.Background(), 1, metric.WithAttributes(
+		attribute.String("account", m.accounts.of(account)), attribute.String("outcome", outcome)))
+}
+
 // PlatformCalled counts a call to the platform.
 func (m *Metrics) PlatformCalled(call, result string, took time.Duration) {
 	ctx := context.Background()
--- a/modules/setting/setting.go
+++ b/modules/setting/setting.go
@@ -75,6 +75,11 @@
 	RetryRatio         float64 `json:"retry_ratio,omitempty"`
 	RetrySlack         float64 `json:"retry_slack,omitempty"`
 	RetryWindowSeconds float64 `json:"retry_window_seconds,omitempty"`
+	// QuotaOverage, a part of an account's quota, and QuotaSlack, in its unit,
+	// say by how much the uses of all boxes may exceed it in any such window.
+	QuotaOverage       float64 `json:"quota_overage,omitempty"`
+	QuotaSlack         float64 `json:"quota_slack,omitempty"`
+	QuotaWindowSeconds float64 `json:"quota_window_seconds,omitempty"`
 }
 
 // Limits bound what a box takes in. 0 means the default.
@@ -230,6 +235,9 @@
 		{"relay.retry_ratio", b.Relay.RetryRatio},
 		{"relay.retry_slack", b.Relay.RetrySlack},
 		{"relay.retry_window_seconds", b.Relay.RetryWindowSeconds},
+		{"relay.quota_overage", b.Relay.QuotaOverage},
+		{"relay.quota_slack", b.Relay.QuotaSlack},
+		{"relay.quota_window_seconds", b.Relay.QuotaWindowSeconds},
 	}
 	for _, a := range amounts {
 		if a.value < 0 || a.value > maxAmount {
--- a/protocol/boxwire/boxwire.go
+++ b/protocol/boxwire/boxwire.go
@@ -48,6 +48,8 @@
 	KindPiece
 	KindUpdate
 	KindUpdatePull
+	KindQuotaAsk
+	KindQuotaAnswer
 )
 
 const (
@@ -84,10 +86,12 @@
 }
 
 // Member is a message of the membership protocol. Generation is the sender's
-// table, so that boxes that missed a change notice.
+// table, so that boxes that missed a change notice, and AgeMS how long ago the
+// platform last confirmed it, as far as the sender knows; -1 is not known.
 type Member struct {
 	Message    member.Message
 	Generation uint64
+	AgeMS      int64
 }
 
 // Change carries a change of the table, as compressed JSON: it is read by people in
@@ -153,6 +157,9 @@
 	KindPiece:      func() Message { return &Piece{} },
 	KindUpdate:     func() Message { return &Update{} },
 	KindUpdatePull: func() Message { return &UpdatePull{} },
+
+	KindQuotaAsk:    func() Message { return &QuotaAsk{} },
+	KindQuotaAnswer: func() Message { return &QuotaAnswer{} },
 }
 
 // Append adds the frame of a message to buf.
--- a/protocol/relayapi/relayapi.go
+++ b/protocol/relayapi/relayapi.go
@@ -39,6 +39,8 @@
 	Stage, StagePrefill string
 	// Source says where a decode engine fetches a prefill result.
 	Source string
+	// Account names the client account to an endpoint.
+	Account string
 	// Reserved are further headers that only a box may set.
 	Reserved []string
 	// FreePath, followed by a handle, is what frees a kept prefill result.
@@ -62,6 +64,7 @@
 		Stage:        "Runridge-Stage",
 		StagePrefill: "prefill",
 		Source:       "Runridge-Source",
+		Account:      "Runridge-Account",
 		FreePath:     "/runridge/kept/",
 		HandleField:  "handle",
 		TokensField:  "tokens",
@@ -70,7 +73,7 @@
 
 // OwnedByBox says whether only a box may set the header, whatever a caller sent.
 func (n Names) OwnedByBox(header string) bool {
-	for _, own := range []string{n.Deadline, n.Instance, n.Priority, n.Stage, n.Source} {
+	for _, own := range []string{n.Deadline, n.Instance, n.Priority, n.Stage, n.Source, n.Account} {
 		if strings.EqualFold(own, header) {
 			return true
 		}
--- a/state/table/check.go
+++ b/state/table/check.go
@@ -188,13 +188,6 @@
 	}
 }
 
-func (c *checker) checkAccounts() {
-	c.unique("account", namesOf(c.table.Accounts, func(a Account) string { return a.Name }))
-	for _, a := range c.table.Accounts {
-		c.positive("account "+a.Name, "weight", a.Weight)
-	}
-}
-
 func (c *checker) checkEngineLimits(row string, e *EngineLimits) {
 	if e == nil {
 		return
--- a/state/table/route.go
+++ b/state/table/route.go
@@ -40,6 +40,8 @@
 	Priority int `json:"priority,omitempty"`
 	// Resumable streams may be taken up at another endpoint after an event.
 	Resumable bool `json:"resumable,omitempty"`
+	// Public routes take requests without a key.
+	Public bool `json:"public,omitempty"`
 }
 
 // RouteTarget is a service's share of a route.
--- a/state/table/table.go
+++ b/state/table/table.go
@@ -120,17 +120,6 @@
 	BytesPerSecond int64  `json:"bytes_per_second"`
 }
 
-// Account is a caller account.
-type Account struct {
-	Name string `json:"name"`
-	// KeySHA256 is the hex SHA-256 of the account's key; empty asks for none.
-	KeySHA256 string `json:"key_sha256,omitempty"`
-	// Weight is the account's share when requests wait.
-	Weight int `json:"weight"`
-	// MaxInFlight bounds the account's requests on one home at once; 0 is no bound.
-	MaxInFlight int `json:"max_in_flight,omitempty"`
-}
-
 // Service finds a service by name.
 func (t Table) Service(name string) (Service, bool) {
 	i := slices.IndexFunc(t.Services, func(s Service) bool { return s.Name == name })
@@ -158,15 +147,6 @@
 	return t.Endpoints[i], true
 }
 
-// Account finds an account by name.
-func (t Table) Account(name string) (Account, bool) {
-	i := slices.IndexFunc(t.Accounts, func(a Account) bool { return a.Name == name })
-	if i < 0 {
-		return Account{}, false
-	}
-	return t.Accounts[i], true
-}
-
 // LinkRate is the rate from one zone to another in bytes per second; 0 means
 // that the table names no limit.
 func (t Table) LinkRate(from, to string) int64 {
--- a/tests/routed/site_test.go
+++ b/tests/routed/site_test.go
@@ -7,6 +7,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -14,6 +15,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -38,6 +40,8 @@
 type site struct {
 	t     *testing.T
 	slack float64
+	// logs has what all boxes wrote.
+	logs  *journal
 	store *standin.Store
 	boxes []*running
 	ends  map[string]*standin.Endpoint
@@ -52,6 +56,26 @@
 	ready  string
 }
 
+// journal gathers what boxes write.
+type journal struct {
+	mutex sync.Mutex
+	text  bytes.Buffer
+}
+
+// Write adds to it.
+func (j *journal) Write(p []byte) (int, error) {
+	j.mutex.Lock()
+	defer j.mutex.Unlock()
+	return j.text.Write(p)
+}
+
+// String is all that was written.
+func (j *journal) String() string {
+	j.mutex.Lock()
+	defer j.mutex.Unlock()
+	return j.text.String()
+}
+
 // amply is a retry slack that no test uses up.
 const amply = 500_000
 
@@ -64,7 +88,7 @@
 // newSiteWith starts a site whose boxes share a retry slack.
 func newSiteWith(t *testing.T, slack float64, boxes int, endpoints ...standin.EndpointConfig) *site {
 	t.Helper()
-	s := &site{t: t, slack: slack, store: standin.NewStore(), ends: make(map[string]*standin.Endpoint)}
+	s := &site{t: t, slack: slack, logs: &journal{}, store: standin.NewStore(), ends: make(map[string]*standin.Endpoint)}
 	t.Cleanup(s.close)
 	s.store.Put("config", "main", configuration(1))
 	for _, cfg := range endpoints {
@@ -103,6 +127,10 @@
 func (s *site) start(name string) *running {
 	s.t.Helper()
 	names := platform.Names()
+	logger, err := log.New(log.Config{Level: "trace", Output: s.logs})
+	if err != nil {
+		s.t.Fatal(err)
+	}
 	b, err := box.New(setting.Box{
 		Name: name, Zone: "zone-a",
 		BoxListen: "127.0.0.1:0", OperatorListen: "127.0.0.1:0",
@@ -110,8 +138,9 @@
 		Relay: setting.Relay{
 			Listen: "127.0.0.1:0", ReadyListen: "127.0.0.1:0",
 			RetryRatio: 0.2, RetrySlack: s.slack, RetryWindowSeconds: 10,
+			QuotaOverage: 0.1, QuotaSlack: 1000, QuotaWindowSeconds: 8,
 		},
-	}, box.Options{Log: log.Discard(), Platform: platform.New(s.store.Address()), Names: &names})
+	}, box.Options{Log: logger, Platform: platform.New(s.store.Address()), Names: &names})
 	if err != nil {
 		s.t.Fatal(err)
 	}
@@ -229,6 +258,7 @@
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: patience}
 	resp, err := client.Do(req)
 	if err != nil {
+		s.t.Logf("request %s got no answer: %v", id, err)
 		return answer{id: id}
 	}
 	defer func() { _ = resp.Body.Close() }()
--- a/transport/callerhttp/server.go
+++ b/transport/callerhttp/server.go
@@ -6,10 +6,8 @@
 package callerhttp
 
 import (
+	"bytes"
 	"context"
-	"crypto/sha256"
-	"crypto/subtle"
-	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -26,6 +24,7 @@
 	"runridge.example/runridge/modules/invalid"
 	"runridge.example/runridge/modules/log"
 	"runridge.example/runridge/protocol/callerapi"
+	"runridge.example/runridge/state/account"
 	"runridge.example/runridge/state/lifecycle"
 	"runridge.example/runridge/state/table"
 )
@@ -370,12 +369,11 @@
 			Field: callerapi.HeaderAccount, Value: name, Allowed: "an account of the table",
 		}
 	}
-	if a.KeySHA256 == "" {
+	if len(a.KeysSHA256) == 0 {
 		return 0, nil
 	}
-	key := strings.TrimPrefix(string(ctx.Request.Header.Peek("Authorization")), "Bearer ")
-	sum := sha256.Sum256([]byte(key))
-	if subtle.ConstantTimeCompare([]byte(hex.EncodeToString(sum[:])), []byte(strings.ToLower(a.KeySHA256))) != 1 {
+	key := bytes.TrimPrefix(ctx.Request.Header.Peek("Authorization"), []byte("Bearer "))
+	if !account.Holds(a, account.DigestOf(key)) {
 		return fasthttp.StatusUnauthorized, invalid.FieldError{
 			Field: "Authorization", Value: "a key that does not fit", Allowed: "Bearer and the key of account " + name,
 		}
--- a/transport/relayhttp/read.go
+++ b/transport/relayhttp/read.go
@@ -184,6 +184,8 @@
 			if wait, ok := relayapi.ParseDeadline(text); ok {
 				q.Wait = wait
 			}
+		case strings.EqualFold(name, headerAuthorization):
+			q.Credential.Opaque = append(q.Credential.Opaque, relay.Field{Name: name, Value: text})
 		case strings.EqualFold(name, "Connection"):
 			named += "," + text
 		case strings.EqualFold(name, "Host"), hopByHop[strings.ToLower(name)], names.OwnedByBox(name):
@@ -198,6 +200,8 @@
 		}
 	}
 	q.Header = withoutNamed(q.Header, named)
+	q.Credential = credentialOf(q.Credential.Opaque)
+	q.Credential.Opaque = withoutNamed(q.Credential.Opaque, named)
 	return q
 }
 
--- a/transport/relayhttp/reply.go
+++ b/transport/relayhttp/reply.go
@@ -133,6 +133,9 @@
 	if w.q.ID != "" {
 		fields = append(fields, relay.Field{Name: w.names.RequestID, Value: w.q.ID})
 	}
+	if r.Challenge {
+		fields = append(fields, relay.Field{Name: "WWW-Authenticate", Value: scheme})
+	}
 	if r.RetryAfter > 0 {
 		seconds := strconv.FormatFloat(r.RetryAfter.Seconds(), 'f', 3, 64)
 		fields = append(fields, relay.Field{Name: "Retry-After", Value: seconds})
--- a/transport/upstream/exchange.go
+++ b/transport/upstream/exchange.go
@@ -108,6 +108,9 @@
 	if !call.Control {
 		field(x.names.Instance, call.Endpoint.ID)
 	}
+	if call.Account != "" {
+		field(x.names.Account, call.Account)
+	}
 	if call.Ranked {
 		field(x.names.Priority, strconv.Itoa(call.Priority))
 	}
