--- a/box/status.go
+++ b/box/status.go
@@ -29,6 +29,11 @@
 		BytesSent:       sent,
 		BytesReceived:   received,
 		Messages:        messages,
+		TableAgeMS:      ageMS(b.follower.Age()),
+	}
+	if b.routed != nil {
+		quotas := b.routed.quotas.Status()
+		s.Quotas = &quotas
 	}
 	if !table.PlatformHeard.IsZero() {
 		s.PlatformHeardMS = time.Since(table.PlatformHeard).Milliseconds()
--- /dev/null
+++ b/cmd/runridgectl/accounts_test.go
@@ -0,0 +1,37 @@
+// Copyright 2026 The Runridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package main
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"runridge.example/runridge/coordination/quota"
+	"runridge.example/runridge/transport/operatorhttp"
+)
+
+func TestPrintAccounts(t *testing.T) {
+	convey.Convey("Each account stands with its home, its use and the boxes that it was lent to", t, func() {
+		boxes := []operatorhttp.Status{
+			{Box: "box-1", Quotas: &quota.Status{
+				Sees: 2, Of: 3,
+				Accounts: []quota.AccountStatus{{Account: "desk", Unit: "tokens", Rate: 29000, Level: 12, Used: 4321, Refused: 7}},
+			}},
+			{Box: "box-2", Quotas: &quota.Status{Purses: []quota.PurseStatus{{Account: "desk", Left: 600}}}},
+			{Box: "box-3"},
+		}
+		var out bytes.Buffer
+		convey.So(printAccounts(&out, boxes), convey.ShouldBeNil)
+		for _, want := range []string{"desk", "box-1", "2/3", "29000", "4321", "7", "box-2:600"} {
+			convey.So(out.String(), convey.ShouldContainSubstring, want)
+		}
+	})
+	convey.Convey("An address that is none is named", t, func() {
+		_, err := statusOf("box-1:80", time.Second)
+		convey.So(err.Error(), convey.ShouldContainSubstring, "an IP number and port")
+	})
+}
--- a/cmd/runridgectl/main.go
+++ b/cmd/runridgectl/main.go
@@ -33,6 +33,7 @@
 	addHistory(parser)
 	addExplain(parser)
 	addOutcomes(parser)
+	addAccounts(parser)
 	os.Exit(command.Run(parser, exitCode))
 }
 
--- /dev/null
+++ b/tests/mutants/accounts.go
@@ -0,0 +1,63 @@
+// Copyright 2026 The Runridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package main
+
+const (
+	relayAccountFile = "coordination/relay/account.go"
+	quotaHomeFile    = "coordination/quota/home.go"
+	quotaFile        = "state/quota/quota.go"
+	quotaTests       = "./coordination/quota"
+)
+
+// accountMutants are deliberate faults in the keys and quotas of accounts.
+var accountMutants = []mutant{
+	{
+		name: "key_passed_on", file: sendFile, pkg: routedTests, args: only("TestKeysStayInside"),
+		old: "if keyed || len(v.q.Credential.Opaque) == 0 {", fault: "if keyed && false || len(v.q.Credential.Opaque) == 0 {",
+	},
+	{
+		name: "account_of_callers", file: "protocol/relayapi/relayapi.go", pkg: routedTests, args: only("TestKeys"),
+		old: "n.Stage, n.Source, n.Account} {", fault: "n.Stage, n.Source} {",
+	},
+	{
+		name: "key_not_checked_again", file: relayAccountFile, pkg: routedTests, args: only("TestKeyTakenAway"),
+		old: "if a == nil && !free {\n		return true", fault: "if a == nil && !free {\n		return false",
+	},
+	{
+		name: "unknown_key_refused_for_good", file: "coordination/follow/confirm.go", pkg: routedTests, args: only("TestUnknownKeyOfABoxThatIsBehind"),
+		old: "return f.others <= f.table.Generation && age", fault: "return age",
+	},
+	{
+		name: "two_keys_taken", file: "transport/relayhttp/credential.go", pkg: routedTests, args: only("TestKeys"),
+		old: "if len(fields) != 1 {", fault: "if len(fields) < 1 {",
+	},
+	{
+		name: "key_in_a_table", file: "platform/tenant.go", pkg: "./platform", args: only("TestAccounts"),
+		old: "*k = keySpec(account.DigestOf([]byte(key)).Hex())", fault: "*k = keySpec(key + account.DigestOf(nil).Hex()[len(key):])",
+	},
+	{
+		name: "new_home_starts_full", file: quotaFile, pkg: "./state/quota", args: only("TestBucket"),
+		old: "return Bucket{at: now, known: true}", fault: "return Bucket{at: now, known: true, level: t.Burst}",
+	},
+	{
+		name: "cut_off_home_gives_all", file: quotaFile, pkg: quotaTests, args: only("TestHalvesCutApart"),
+		old: "if seen >= all {", fault: "if true {",
+	},
+	{
+		name: "loans_never_end", file: "state/quota/purse.go", pkg: "./state/quota", args: only("TestPurse"),
+		old: "if now >= p.ends {\n		p.left = 0", fault: "if now >= 100*p.ends {\n		p.left = 0",
+	},
+	{
+		name: "second_does_not_find_out", file: quotaHomeFile, pkg: quotaTests, args: only("TestSecondInRank"),
+		old: "if k.silent(ranked[0]) {", fault: "if true {",
+	},
+	{
+		name: "pause_not_noticed", file: "coordination/quota/quota.go", pkg: quotaTests, args: only("TestPausedHome"),
+		old: "k.drop(name, \"own_pause\")", fault: "_ = name",
+	},
+	{
+		name: "lent_and_not_counted", file: quotaFile, pkg: "./state/quota", args: only("TestBucket"),
+		old: "	b.level -= more\n", fault: "",
+	},
+}
--- a/tests/mutants/main.go
+++ b/tests/mutants/main.go
@@ -47,8 +47,12 @@
 
 func run(root string) error {
 	survivors := 0
-	mutants := slices.Concat(mutants, routedMutants, sharedMutants)
-	for _, m := range mutants {
+	chosen := slices.Concat(mutants, routedMutants, accountMutants, sharedMutants)
+	if len(os.Args) > 1 {
+		// Those whose file lies under a path, for work on that part.
+		chosen = slices.DeleteFunc(chosen, func(m mutant) bool { return !strings.HasPrefix(m.file, os.Args[1]) })
+	}
+	for _, m := range chosen {
 		found, err := try(root, m)
 		if err != nil {
 			return fmt.Errorf("mutant %s: %w", m.name, err)
@@ -59,9 +63,9 @@
 		}
 	}
 	if survivors > 0 {
-		return fmt.Errorf("%d of %d deliberate faults were not found", survivors, len(mutants))
+		return fmt.Errorf("%d of %d deliberate faults were not found", survivors, len(chosen))
 	}
-	fmt.Printf("mutants all %d deliberate faults were found\n", len(mutants))
+	fmt.Printf("mutants all %d deliberate faults were found\n", len(chosen))
 	return nil
 }
 
--- a/transport/operatorhttp/operatorhttp.go
+++ b/transport/operatorhttp/operatorhttp.go
@@ -12,6 +12,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"runridge.example/runridge/coordination/quota"
 )
 
 // Paths: the box's Status as JSON, and its metrics.
@@ -41,6 +43,12 @@
 	BytesSent     uint64   `json:"bytes_sent"`
 	BytesReceived uint64   `json:"bytes_received"`
 	Messages      uint64   `json:"messages"`
+	// TableAgeMS is how long ago the platform confirmed the table in force, by this
+	// box's or another's word; -1 is never.
+	TableAgeMS int64 `json:"table_age_ms"`
+	// Quotas is the box's part in the quotas of accounts; nil without routed
+	// services.
+	Quotas *quota.Status `json:"quotas,omitempty"`
 }
 
 // Member is another box as this one sees it.
