--- a/model/check.sh
+++ b/model/check.sh
@@ -57,6 +57,9 @@
 		expect violated lease lease -D$fault
 	done
 	expect violated lease lease -DPAUSE_BEFORE_SEND -DHORIZON=5 -DNO_FENCE_CHECK
+	for fault in FULL_START NO_PART NO_FINDING_OUT WHOLE_STAND_IN; do
+		expect violated quota quota -D$fault
+	done
 else
 	expect ok attempt attempt
 	expect ok attempt attempt -DONCE=1
@@ -65,5 +68,6 @@
 	expect ok config config
 	expect ok lease lease
 	expect ok lease lease -DPAUSE_BEFORE_SEND -DHORIZON=5
+	expect ok quota quota
 fi
 exit $failed
