--- /dev/null
+++ b/box/assemble.go
@@ -0,0 +1,173 @@
+// Copyright 2026 The Runridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package box
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"runridge.example/runridge/coordination/cleanup"
+	"runridge.example/runridge/coordination/dedup"
+	"runridge.example/runridge/coordination/dispatch"
+	"runridge.example/runridge/coordination/follow"
+	"runridge.example/runridge/coordination/home"
+	members "runridge.example/runridge/coordination/member"
+	"runridge.example/runridge/coordination/owner"
+	"runridge.example/runridge/coordination/watch"
+	"runridge.example/runridge/modules/invalid"
+	"runridge.example/runridge/modules/ring"
+	"runridge.example/runridge/protocol/boxwire"
+	records "runridge.example/runridge/state/dedup"
+	"runridge.example/runridge/state/member"
+	"runridge.example/runridge/state/rank"
+	"runridge.example/runridge/transport/boxnet"
+	"runridge.example/runridge/transport/callerhttp"
+)
+
+// minKey is the least length of the key that boxes share, in bytes.
+const minKey = 16
+
+func readKey(path string) ([]byte, error) {
+	if path == "" {
+		return nil, nil
+	}
+	key, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("setting box_key_file: %w", err)
+	}
+	if len(key) < minKey {
+		return nil, invalid.FieldError{Field: "setting box_key_file", Value: path, Allowed: fmt.Sprintf("a file of at least %d bytes", minKey)}
+	}
+	return key, nil
+}
+
+// assemble joins the parts.
+func (b *Box) assemble(key []byte) {
+	s, o := b.settings, b.options
+	b.net = boxnet.New(b.netCtx, boxnet.Config{
+		Box:         s.Name,
+		Incarnation: o.Incarnation,
+		Key:         key,
+		Handler:     b.receive,
+		OnRefused:   func(box string) { b.members.Refused(box) },
+		Log:         o.Log,
+	})
+	others := peers{
+		net:        b.net,
+		generation: func() uint64 { return b.follower.Table().Generation },
+		age:        func() time.Duration { return b.follower.Age() },
+	}
+	b.others = others
+	b.router = home.NewRouter(s.Name, others)
+	b.follower = follow.New(follow.Config{
+		Self:        s.Name,
+		Platform:    b.platform,
+		Peers:       others,
+		Ranked:      b.router.Ranked,
+		Settle:      b.settle(),
+		FirstAtOnce: b.routed != nil,
+		Reads:       b.tableReads(),
+		Wait:        b.tableWait(),
+		Log:         o.Log,
+	})
+	owners := owner.New(owner.Config{
+		Members: func() members.Snapshot { return b.members.Snapshot() },
+		Prober:  b.net,
+	})
+	b.keeper = dedup.NewKeeper(dedup.Config{
+		Self:        s.Name,
+		Incarnation: o.Incarnation,
+		Store:       records.Config{Window: o.Window},
+		Sender:      keyMessages{b},
+		Rank:        func(key string, boxes []string) []string { return rank.Of(boxes).First(key, keyRank) },
+	})
+	b.claimer = dedup.NewClaimer(dedup.ClaimerConfig{
+		Incarnation: o.Incarnation,
+		Asker:       keyMessages{b},
+		Ranked:      b.router.Ranked,
+	})
+	b.releaser = cleanup.New(cleanup.Config{Engine: b.engine, Log: o.Log})
+	b.watch = watch.New(watch.Config{
+		Engine:   b.engine,
+		Homes:    homesOf{b},
+		Checker:  b.router,
+		Owners:   owners,
+		Releaser: b.releaser,
+		Log:      o.Log,
+	})
+	b.homes = home.New(home.Config{
+		Self:    s.Name,
+		Answers: b.router,
+		Watch:   b.watchSetter(),
+		Policy:  o.Policy,
+		Log:     o.Log,
+		Seed:    xxhash.Sum64String(s.Name) ^ o.Incarnation,
+	})
+	b.dispatch = dispatch.New(dispatch.Config{
+		Box:         s.Name,
+		Incarnation: o.Incarnation,
+		Zone:        s.Zone,
+		Engine:      b.engine,
+		Homes:       b.router,
+		Releaser:    b.releaser,
+		Tables:      b.follower,
+		Keys:        b.claimer,
+		Owners:      owners,
+		Window:      o.Window,
+		Metrics:     b.metrics,
+		MaxAttempts: uint32(s.Limits.MaxAttempts),
+		StepTimeout: time.Duration(s.Limits.StepTimeoutMS) * time.Millisecond,
+		Log:         o.Log,
+	})
+	b.members = members.New(members.Config{
+		View: member.Config{
+			Self: member.Box{
+				Name: s.Name, Address: b.BoxAddr(), Zone: s.Zone,
+				Start: o.Incarnation, Incarnation: o.Incarnation,
+			},
+			Period:  o.ProbePeriod,
+			Timeout: o.ProbePeriod / probeShare,
+			Seed:    xxhash.Sum64String(s.Name) ^ o.Incarnation,
+		},
+		Sender:   others,
+		Platform: b.platform,
+		Poll:     o.PollBoxes,
+		OnChange: b.membersChanged,
+		OnPause: func() {
+			b.homes.Paused()
+			b.pauseRouted()
+			b.keeper.Distrust()
+		},
+		Log: o.Log,
+	})
+	b.names.Store(boxwire.NewNames())
+	b.decisions = decisions{dispatch: b.dispatch}
+	if b.routed != nil {
+		b.assembleRouted(o.relayNames())
+		b.decisions.relay = b.routed.relay
+	}
+	b.router.Connect(b.homes, b.decisions)
+	b.follower.OnChange(b.setTable)
+	b.callers = callerhttp.New(callerhttp.Config{
+		Dispatcher:    b.dispatch,
+		Plain:         b.plain,
+		Tables:        b.follower,
+		Ready:         b.Ready,
+		Zone:          s.Zone,
+		MaxBody:       s.Limits.MaxBodyBytes,
+		MaxHeaders:    s.Limits.MaxHeaderBytes,
+		MaxConcurrent: s.Limits.MaxConcurrent,
+		BytesPerToken: s.Limits.BytesPerToken,
+		Log:           o.Log,
+	})
+}
+
+// homesOf reaches the homes, which are made after the watch.
+type homesOf struct{ b *Box }
+
+// Offer hands a command to the box's homes.
+func (h homesOf) Offer(c home.Command) ring.Outcome { return h.b.homes.Offer(c) }
--- /dev/null
+++ b/coordination/home/answer.go
@@ -0,0 +1,69 @@
+// Copyright 2026 The Runridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package home
+
+import (
+	"time"
+
+	"runridge.example/runridge/modules/log"
+	"runridge.example/runridge/state/lifecycle"
+	"runridge.example/runridge/state/schedule"
+)
+
+// unknownGroup refuses an ask for a group that this box's table does not have.
+func (h *Homes) unknownGroup(c Command) {
+	a, ok := c.Body.(schedule.Ask)
+	if !ok {
+		return
+	}
+	h.cfg.Answers.Answer(a.Box, c.Group, schedule.Refuse{
+		Ask:        a,
+		Reason:     lifecycle.ReasonRouteRemoved,
+		RetryAfter: time.Second,
+	})
+}
+
+func (h *Homes) answer(group string, decisions []schedule.Decision) {
+	for _, d := range decisions {
+		if r, refused := d.(schedule.Refuse); refused {
+			h.logRefusal(group, r)
+		}
+		h.cfg.Answers.Answer(schedule.Asked(d).Box, group, d)
+	}
+}
+
+// logEjections writes which engines a group has taken out.
+func (h *Homes) logEjections(group string, g *running) {
+	for _, e := range g.Ejections() {
+		h.cfg.Log.WithFields(log.Fields{
+			log.FieldEngine: e.Engine,
+			"group":         group,
+			"for_ms":        e.For.Milliseconds(),
+			"unreached":     e.Unreached,
+			"results_lost":  e.ResultsLost,
+			"others_out":    e.OthersOut,
+			"others":        e.Others,
+		}).Info("engine_ejected")
+	}
+}
+
+// logRefusal writes what a refusal was decided by.
+func (h *Homes) logRefusal(group string, r schedule.Refuse) {
+	h.cfg.Log.WithFields(log.Fields{
+		log.FieldAsk:        r.Ask.ID.String(),
+		log.FieldReason:     string(r.Reason),
+		log.FieldGeneration: h.known.Table().Generation,
+		"group":             group,
+		"waiting":           r.Seen.Waiting,
+		"granted":           r.Seen.Granted,
+		"free_slots":        r.Seen.FreeSlots,
+		"idle_ms":           r.Seen.Idle.Milliseconds(),
+		"wait_ms":           r.Seen.Wait.Milliseconds(),
+		"left_ms":           r.Seen.Left.Milliseconds(),
+		"retry_ms":          r.RetryAfter.Milliseconds(),
+		"spill":             r.Ask.Spill,
+		"late":              r.Ask.Late,
+		"age_ms":            r.Ask.Waited.Milliseconds(),
+	}).Info("home_refused")
+}
--- /dev/null
+++ b/coordination/home/configure.go
@@ -0,0 +1,182 @@
+// Copyright 2026 The Runridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package home
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"runridge.example/runridge/modules/log"
+	"runridge.example/runridge/state/group"
+	"runridge.example/runridge/state/lifecycle"
+	"runridge.example/runridge/state/schedule"
+	"runridge.example/runridge/state/table"
+)
+
+// configure takes changed groups over into those that run here. Those whose
+// endpoints are the same under the same table are left as they are.
+func (h *Homes) configure(known group.Groups) {
+	if known.Table().Generation < h.known.Table().Generation {
+		return
+	}
+	sameTable := known.Table().Generation == h.known.Table().Generation
+	h.known = known
+	now := time.Now()
+	for key, g := range h.groups {
+		spec, ok := known.Get(key)
+		if !ok {
+			h.drop(key, g, lifecycle.ReasonRouteRemoved)
+			continue
+		}
+		if sameTable && spec == g.spec {
+			continue
+		}
+		g.spec = spec
+		h.answer(key, g.Configure(now, h.groupConfig(spec)))
+		h.watch(key, spec)
+	}
+}
+
+// watch names a group's engines to the watch.
+func (h *Homes) watch(key string, spec *table.Group) {
+	if h.cfg.Watch == nil {
+		return
+	}
+	engines := make([]table.Endpoint, 0, len(spec.Members))
+	for _, m := range spec.Members {
+		if m.Model {
+			engines = append(engines, m.Endpoint)
+		}
+	}
+	h.cfg.Watch(key, engines)
+}
+
+// drop gives a group up and tells those who wait in it.
+func (h *Homes) drop(key string, g *running, reason lifecycle.Reason) {
+	for _, a := range g.Waiters() {
+		h.cfg.Answers.Answer(a.Box, key, schedule.Refuse{Ask: a, Reason: reason, RetryAfter: time.Second})
+	}
+	delete(h.groups, key)
+	if h.cfg.Watch != nil {
+		h.cfg.Watch(key, nil)
+	}
+	h.cfg.Log.WithFields(log.Fields{"group": key, log.FieldReason: string(reason)}).Info("home_ended")
+}
+
+// retire gives up the groups that have another home now. The boxes tell that
+// one of their grants and ask it again.
+func (h *Homes) retire() {
+	for key, g := range h.groups {
+		if h.cfg.Answers.HomeOf(key) != h.cfg.Self {
+			h.drop(key, g, lifecycle.ReasonMoved)
+		}
+	}
+	lost := h.lost.Load()
+	for _, box := range lost.Dead {
+		h.dropBox(box)
+	}
+	for box, start := range lost.Starts {
+		h.dropBefore(box, start)
+	}
+}
+
+// group finds a group or starts it: the first question makes this box its home.
+func (h *Homes) group(key string) *running {
+	if g, ok := h.groups[key]; ok {
+		return g
+	}
+	spec, ok := h.known.Get(key)
+	if !ok {
+		return nil
+	}
+	cfg := h.groupConfig(spec)
+	cfg.Cautious = h.cfg.Watch != nil
+	g := &running{Group: schedule.New(cfg, h.start), spec: spec}
+	h.groups[key] = g
+	h.watch(key, spec)
+	h.cfg.Log.WithFields(log.Fields{"group": key, log.FieldGeneration: h.known.Table().Generation}).Info("home_started")
+	return g
+}
+
+func (h *Homes) groupConfig(spec *table.Group) schedule.Config {
+	t := h.known.Table()
+	s, _ := t.Service(spec.Service)
+	weights := make(map[string]table.Account, len(t.Accounts))
+	for _, a := range t.Accounts {
+		weights[a.Name] = a
+	}
+	return schedule.Config{
+		Targets:       targets(s),
+		Engines:       engineSpecs(spec),
+		LinkRate:      t.LinkRate,
+		AccountWeight: func(name string) int { return weights[name].Weight },
+		AccountLimit:  func(name string) int { return weights[name].MaxInFlight },
+		Growing:       s.Engine != nil,
+		Plain:         s.Kind == table.KindPlain,
+		Policy:        h.cfg.Policy,
+		Health:        h.cfg.Health,
+		Seed:          h.cfg.Seed + xxhash.Sum64String(spec.Key),
+	}
+}
+
+// plainWait is how long a call to a plain service may wait for a slot if the
+// table says nothing.
+const plainWait = 5 * time.Second
+
+func targets(s table.Service) schedule.Targets {
+	out := schedule.Targets{
+		FirstToken:      time.Duration(s.FirstTokenMS) * time.Millisecond,
+		FirstTokenPer1K: time.Duration(s.FirstTokenMSPer1K) * time.Millisecond,
+		PerToken:        time.Duration(s.PerTokenMS) * time.Millisecond,
+		WasteWeight:     s.WasteWeight,
+	}
+	if s.Kind == table.KindPlain {
+		// A plain call has no tokens; its slot is all that is scheduled.
+		out.FirstToken = max(out.FirstToken, plainWait)
+		out.PerToken = plainWait
+	}
+	return out
+}
+
+// plainRate makes a plain call's prefill cost nothing.
+const plainRate = 1e12
+
+func engineSpecs(spec *table.Group) []schedule.EngineSpec {
+	out := make([]schedule.EngineSpec, 0, len(spec.Members))
+	for _, m := range spec.Members {
+		e := m.Endpoint
+		rate := float64(e.PrefillTokensPerSecond)
+		if !m.Model {
+			rate = plainRate
+		}
+		out = append(out, schedule.EngineSpec{
+			Name:            e.Name,
+			Zone:            e.Zone,
+			Prefill:         m.Prefill,
+			Decode:          m.Decode,
+			Slots:           m.Holds,
+			KVTokens:        e.KVTokens,
+			PrefillRate:     rate,
+			StepBase:        time.Duration(e.StepBaseUS) * time.Microsecond,
+			StepPer:         time.Duration(e.StepPerRequestUS) * time.Microsecond,
+			KVBytesPerToken: e.KVBytesPerToken,
+			Leaving:         e.Leaving,
+			Weight:          m.Weight,
+		})
+	}
+	return out
+}
+
+func (h *Homes) dropBox(box string) {
+	for key, g := range h.groups {
+		h.answer(key, g.DropBox(time.Now(), box))
+	}
+}
+
+func (h *Homes) dropBefore(box string, start uint64) {
+	for key, g := range h.groups {
+		h.answer(key, g.DropBefore(time.Now(), box, start))
+	}
+}
--- a/tests/mutants/routed.go
+++ b/tests/mutants/routed.go
@@ -4,18 +4,21 @@
 package main
 
 const (
-	runFile      = "coordination/relay/run.go"
-	refusalFile  = "coordination/relay/refuse.go"
-	sendFile     = "coordination/relay/exchange.go"
-	answerFile   = "coordination/relay/answer.go"
-	exchange     = "transport/upstream/exchange.go"
-	readFile     = "transport/relayhttp/read.go"
-	followFile   = "coordination/follow/follow.go"
-	retryFile    = "state/retry/budget.go"
-	memoryFile   = "state/schedule/memory.go"
-	forecastFile = "state/schedule/forecast.go"
-	directories  = "state/directory/directory.go"
-	routedTests  = "./tests/routed"
+	runFile           = "coordination/relay/run.go"
+	refusalFile       = "coordination/relay/refuse.go"
+	sendFile          = "coordination/relay/exchange.go"
+	answerFile        = "coordination/relay/answer.go"
+	exchange          = "transport/upstream/exchange.go"
+	readFile          = "transport/relayhttp/read.go"
+	followFile        = "coordination/follow/follow.go"
+	readTableFile     = "coordination/follow/read.go"
+	passTableFile     = "coordination/follow/pass.go"
+	homeConfigureFile = "coordination/home/configure.go"
+	retryFile         = "state/retry/budget.go"
+	memoryFile        = "state/schedule/memory.go"
+	forecastFile      = "state/schedule/forecast.go"
+	directories       = "state/directory/directory.go"
+	routedTests       = "./tests/routed"
 )
 
 func only(test string) []string { return []string{"-run=^" + test + "$"} }
@@ -96,7 +99,7 @@
 		old: "if t.Generation <= f.table.Generation {\n		return table.Delta{}, false", fault: "if t.Generation == f.table.Generation {\n		return table.Delta{}, false",
 	},
 	{
-		name: "read_without_bound", file: followFile, pkg: "./coordination/follow", args: only("TestReads"),
+		name: "read_without_bound", file: readTableFile, pkg: "./coordination/follow", args: only("TestReads"),
 		old: "bound = min(bound, readTimeout)", fault: "bound = max(bound, readTimeout)",
 	},
 	{
--- a/tests/mutants/shared.go
+++ b/tests/mutants/shared.go
@@ -88,7 +88,7 @@
 		old: "	if len(text) > maxDelta {\n", fault: "	if len(text) < 0 {\n",
 	},
 	{
-		name: "newer_table_asked_for_at_once", file: followFile, pkg: "./coordination/follow", args: only("TestNewerTablesAreAskedFor"),
+		name: "newer_table_asked_for_at_once", file: passTableFile, pkg: "./coordination/follow", args: only("TestNewerTablesAreAskedFor"),
 		old: "waited := !f.open || now.Sub(f.behind) >= pullGrace", fault: "waited := !f.open || now.Sub(f.behind) >= 0*pullGrace",
 	},
 	{
@@ -105,7 +105,7 @@
 		old: "a.ID.Request.Incarnation < start", fault: "a.ID.Request.Incarnation < 0",
 	},
 	{
-		name: "starts_not_looked_at", file: homeFile, pkg: "./coordination/home", args: only("TestProcessesThatAreNoMore"),
+		name: "starts_not_looked_at", file: homeConfigureFile, pkg: "./coordination/home", args: only("TestProcessesThatAreNoMore"),
 		old: "		h.dropBefore(box, start)\n", fault: "		_, _ = box, start\n",
 	},
 	{
--- /dev/null
+++ b/transport/callerhttp/request.go
@@ -0,0 +1,183 @@
+// Copyright 2026 The Runridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package callerhttp
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"runridge.example/runridge/coordination/dispatch"
+	"runridge.example/runridge/modules/invalid"
+	"runridge.example/runridge/protocol/callerapi"
+	"runridge.example/runridge/state/account"
+	"runridge.example/runridge/state/table"
+)
+
+// readBody reads a whole body within the bound.
+func (s *Server) readBody(ctx *fasthttp.RequestCtx) ([]byte, error) {
+	stream := ctx.RequestBodyStream()
+	if stream == nil {
+		return ctx.PostBody(), nil
+	}
+	data, err := io.ReadAll(io.LimitReader(stream, int64(s.cfg.MaxBody)+1))
+	if err != nil {
+		return nil, invalid.FieldError{Field: "body", Value: "cut short", Allowed: "a whole body: " + err.Error()}
+	}
+	if len(data) > s.cfg.MaxBody {
+		return nil, errBodyTooLarge
+	}
+	return data, nil
+}
+
+var errBodyTooLarge = errors.New("body too large")
+
+// request reads and checks a completions request.
+func (s *Server) request(ctx *fasthttp.RequestCtx, chat bool) (callerapi.Body, dispatch.Request, int, error) {
+	if !ctx.IsPost() {
+		return callerapi.Body{}, dispatch.Request{}, fasthttp.StatusMethodNotAllowed, invalid.FieldError{
+			Field: "method", Value: string(ctx.Method()), Allowed: "POST",
+		}
+	}
+	data, err := s.readBody(ctx)
+	if errors.Is(err, errBodyTooLarge) {
+		return callerapi.Body{}, dispatch.Request{}, fasthttp.StatusRequestEntityTooLarge, invalid.FieldError{
+			Field: "body", Value: "too large", Allowed: fmt.Sprintf("at most %d bytes", s.cfg.MaxBody),
+		}
+	}
+	if err != nil {
+		return callerapi.Body{}, dispatch.Request{}, fasthttp.StatusBadRequest, err
+	}
+	body, err := callerapi.ParseBody(data, chat)
+	if err != nil {
+		return body, dispatch.Request{}, fasthttp.StatusBadRequest, err
+	}
+	service, ok := s.cfg.Tables.Table().Service(body.Model)
+	if !ok || service.Kind != table.KindModel {
+		return body, dispatch.Request{}, fasthttp.StatusNotFound, invalid.FieldError{
+			Field: "model", Value: body.Model, Allowed: s.models(),
+		}
+	}
+	r, err := s.fill(ctx, body, service)
+	if err != nil {
+		return body, r, fasthttp.StatusBadRequest, err
+	}
+	if status, err := s.account(ctx, r.Account); err != nil {
+		return body, r, status, err
+	}
+	return body, r, 0, nil
+}
+
+func (s *Server) models() string {
+	var names []string
+	for _, service := range s.cfg.Tables.Table().Services {
+		if service.Kind == table.KindModel {
+			names = append(names, service.Name)
+		}
+	}
+	return strings.Join(names, ", ")
+}
+
+// fill checks bounds and headers and makes the dispatcher's request.
+func (s *Server) fill(ctx *fasthttp.RequestCtx, body callerapi.Body, service table.Service) (dispatch.Request, error) {
+	prompt := body.Text()
+	tokens := max(int(float64(len(prompt))/s.cfg.BytesPerToken), 1)
+	r := dispatch.Request{
+		Service:      service.Name,
+		Account:      string(ctx.Request.Header.Peek(callerapi.HeaderAccount)),
+		Prompt:       prompt,
+		PromptTokens: tokens,
+		OutputTokens: service.MaxOutputTokens,
+		Zone:         s.cfg.Zone,
+	}
+	if tokens > service.MaxPromptTokens {
+		return r, invalid.FieldError{
+			Field: "prompt", Value: fmt.Sprintf("about %d tokens", tokens),
+			Allowed: fmt.Sprintf("at most %d tokens", service.MaxPromptTokens),
+		}
+	}
+	if body.MaxTokens > service.MaxOutputTokens {
+		return r, invalid.FieldError{
+			Field: "max_tokens", Value: strconv.Itoa(body.MaxTokens),
+			Allowed: fmt.Sprintf("at most %d", service.MaxOutputTokens),
+		}
+	}
+	if body.MaxTokens > 0 {
+		r.OutputTokens = body.MaxTokens
+	}
+	return r, s.headers(ctx, &r)
+}
+
+// headers reads what the request's headers say.
+func (s *Server) headers(ctx *fasthttp.RequestCtx, r *dispatch.Request) error {
+	priority, err := number(ctx, callerapi.HeaderPriority, -callerapi.MaxPriority, callerapi.MaxPriority)
+	if err != nil {
+		return err
+	}
+	deadline, err := number(ctx, callerapi.HeaderDeadline, 0, callerapi.MaxDeadlineMS)
+	if err != nil {
+		return err
+	}
+	r.Priority = priority
+	r.Deadline = time.Duration(deadline) * time.Millisecond
+	once := string(ctx.Request.Header.Peek(callerapi.HeaderOnce))
+	if once != "" && once != "true" && once != "false" {
+		return invalid.FieldError{Field: callerapi.HeaderOnce, Value: once, Allowed: "true, false"}
+	}
+	r.Once = once == "true"
+	r.Key = string(ctx.Request.Header.Peek(callerapi.HeaderIdempotencyKey))
+	if len(r.Key) > callerapi.MaxKeyLength {
+		return invalid.FieldError{
+			Field: callerapi.HeaderIdempotencyKey, Value: fmt.Sprintf("%d bytes long", len(r.Key)),
+			Allowed: fmt.Sprintf("at most %d bytes", callerapi.MaxKeyLength),
+		}
+	}
+	return nil
+}
+
+// number reads a header that is a whole number; a header not sent is 0.
+func number(ctx *fasthttp.RequestCtx, header string, low, high int) (int, error) {
+	text := string(ctx.Request.Header.Peek(header))
+	if text == "" {
+		return 0, nil
+	}
+	n, err := strconv.Atoi(text)
+	if err != nil || n < low || n > high {
+		return 0, invalid.FieldError{
+			Field: header, Value: text, Allowed: fmt.Sprintf("a whole number from %d to %d", low, high),
+		}
+	}
+	return n, nil
+}
+
+// account checks the caller's key if the table has one for the account. A
+// table without accounts serves any.
+func (s *Server) account(ctx *fasthttp.RequestCtx, name string) (int, error) {
+	t := s.cfg.Tables.Table()
+	if len(t.Accounts) == 0 {
+		return 0, nil
+	}
+	a, ok := t.Account(name)
+	if !ok {
+		return fasthttp.StatusUnauthorized, invalid.FieldError{
+			Field: callerapi.HeaderAccount, Value: name, Allowed: "an account of the table",
+		}
+	}
+	if len(a.KeysSHA256) == 0 {
+		return 0, nil
+	}
+	key := bytes.TrimPrefix(ctx.Request.Header.Peek("Authorization"), []byte("Bearer "))
+	if !account.Holds(a, account.DigestOf(key)) {
+		return fasthttp.StatusUnauthorized, invalid.FieldError{
+			Field: "Authorization", Value: "a key that does not fit", Allowed: "Bearer and the key of account " + name,
+		}
+	}
+	return 0, nil
+}
