Stages of engines: planned by the prompt work asked for, ordered under a lease for each engine

Change: state/stages plans a group from its prompt work of the last 20 s (engines for twice the mean work at 0.85 of their time, two at least in groups of eight; spare ones change at once, one at a time changes back); the group's home plans each second; coordination/stages orders under a lease in the platform's store, written by compare-and-set for each engine and burst of orders, its revision the fencing token; a lease taken from another box is waited out for two lease times and the thaw. Engines that change get nothing until they have their new stage.

Besides: a new home of a quota starts with an eighth of the slack; an ask for a group that a starting box does not know yet goes to another box.

--- a/box/assemble.go
+++ b/box/assemble.go
@@ -103,6 +103,7 @@
 		Self:    s.Name,
 		Answers: b.router,
 		Watch:   b.watchSetter(),
+		Stages:  b.stages(),
 		Policy:  o.Policy,
 		Log:     o.Log,
 		Seed:    xxhash.Sum64String(s.Name) ^ o.Incarnation,
--- a/box/measured.go
+++ b/box/measured.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"runridge.example/runridge/coordination/adapter"
+	"runridge.example/runridge/coordination/stages"
 	"runridge.example/runridge/modules/log"
 	"runridge.example/runridge/modules/metric"
 	"runridge.example/runridge/state/directory"
@@ -138,6 +139,30 @@
 	return err
 }
 
+// Lease reads who may give orders to an engine.
+func (m measured) Lease(ctx context.Context, engine string) (stages.Lease, error) {
+	begin := time.Now()
+	l, err := m.RelayPlatform.Lease(ctx, engine)
+	m.note("lease", begin, err)
+	return l, err
+}
+
+// WriteLease writes it.
+func (m measured) WriteLease(ctx context.Context, engine, holder string, mark, revision uint64) (uint64, error) {
+	begin := time.Now()
+	written, err := m.RelayPlatform.WriteLease(ctx, engine, holder, mark, revision)
+	m.note("write_lease", begin, err)
+	return written, err
+}
+
+// EndLease removes it.
+func (m measured) EndLease(ctx context.Context, engine string, revision uint64) error {
+	begin := time.Now()
+	err := m.RelayPlatform.EndLease(ctx, engine, revision)
+	m.note("end_lease", begin, err)
+	return err
+}
+
 // Remove takes a box off the list.
 func (m measured) Remove(ctx context.Context, name string, version uint64) error {
 	begin := time.Now()
--- a/box/routed.go
+++ b/box/routed.go
@@ -16,10 +16,12 @@
 	"runridge.example/runridge/coordination/discover"
 	"runridge.example/runridge/coordination/dispatch"
 	"runridge.example/runridge/coordination/follow"
+	"runridge.example/runridge/coordination/home"
 	members "runridge.example/runridge/coordination/member"
 	"runridge.example/runridge/coordination/quota"
 	"runridge.example/runridge/coordination/registry"
 	"runridge.example/runridge/coordination/relay"
+	"runridge.example/runridge/coordination/stages"
 	"runridge.example/runridge/modules/ring"
 	"runridge.example/runridge/modules/setting"
 	"runridge.example/runridge/protocol/callerapi"
@@ -45,6 +47,7 @@
 	Platform
 	discover.Source
 	registry.Platform
+	stages.Leases
 }
 
 // routed is the part of a box that serves routed services.
@@ -52,6 +55,7 @@
 	platform   RelayPlatform
 	relay      *relay.Relay
 	quotas     *quota.Keeper
+	stages     *stages.Keeper
 	server     *relayhttp.Server
 	endpoints  *upstream.Client
 	discoverer *discover.Discoverer
@@ -101,6 +105,16 @@
 		Bound:  quotaBoundOf(s),
 		Log:    b.options.Log,
 	})
+	r.stages = stages.New(stages.Config{
+		Self:    b.settings.Name,
+		Leases:  r.platform,
+		Engines: r.endpoints,
+		Homes:   homesOf{b},
+		Find:    b.findEngine,
+		Known:   func(id string) bool { _, ok := r.discoverer.Directory().Status(id); return ok },
+		Rules:   stageRulesOf(s),
+		Log:     b.options.Log,
+	})
 	r.relay = relay.New(relay.Config{
 		Box:          b.settings.Name,
 		Zone:         b.settings.Zone,
@@ -329,6 +343,7 @@
 	if b.routed != nil {
 		b.routed.relay.SetBudget(budgetOf(s.Relay))
 		b.routed.quotas.SetBound(quotaBoundOf(s.Relay))
+		b.routed.stages.SetRules(stageRulesOf(s.Relay))
 	}
 }
 
@@ -355,6 +370,25 @@
 	}
 }
 
+// stageRulesOf is what the settings say of the stages of engines.
+func stageRulesOf(s setting.Relay) stages.Rules {
+	return stages.Rules{
+		Planned: s.Stages == setting.StagesPlanned,
+		Part:    s.PrefillPart,
+		Lease:   time.Duration(s.LeaseMS * float64(time.Millisecond)),
+		Thaw:    time.Duration(s.ThawMS * float64(time.Millisecond)),
+	}
+}
+
+// findEngine gives an engine that may get orders.
+func (b *Box) findEngine(id string) (stages.Engine, bool) {
+	w, ok := b.routed.discoverer.Directory().Status(id)
+	if !ok || !w.Usable() {
+		return stages.Engine{}, false
+	}
+	return stages.Engine{ID: w.ID, Service: w.Service, Address: w.Address}, true
+}
+
 // stopTaking ends the listener and the connections on which no request is
 // under way; what is under way goes on to its end.
 func (b *Box) stopTaking() {
@@ -379,3 +413,21 @@
 		b.routed.server.Leave()
 	}
 }
+
+// laterStages reaches the part that orders changes of stages, which is made after
+// the homes.
+type laterStages struct{ b *Box }
+
+// Part is the pinned part, and whether stages are planned.
+func (l laterStages) Part() (float64, bool) { return l.b.routed.stages.Part() }
+
+// Offer queues a change.
+func (l laterStages) Offer(c home.StageChange) ring.Outcome { return l.b.routed.stages.Offer(c) }
+
+// stages are what carries out changes of stages; nil without routed services.
+func (b *Box) stages() home.Stages {
+	if b.routed == nil {
+		return nil
+	}
+	return laterStages{b}
+}
--- a/coordination/adapter/adapter.go
+++ b/coordination/adapter/adapter.go
@@ -168,6 +168,9 @@
 // forgotten: what is there now has to be read anew.
 var ErrHistoryGone = errors.New("the platform has forgotten that position")
 
+// ErrNotFound is returned for an object that is not there.
+var ErrNotFound = errors.New("there is no such object")
+
 // ErrConflict is returned when a conditional write met another version.
 var ErrConflict = errors.New("object has another version")
 
--- a/coordination/home/answer.go
+++ b/coordination/home/answer.go
@@ -11,7 +11,10 @@
 	"runridge.example/runridge/state/schedule"
 )
 
-// unknownGroup refuses an ask for a group that this box's table does not have.
+// unknownGroup sends an ask for a group that this box does not know to another box:
+// one that starts has the table before the endpoints. Refused, 26 of the first 600
+// requests after all boxes of a fleet had been killed were told to come back after a
+// second.
 func (h *Homes) unknownGroup(c Command) {
 	a, ok := c.Body.(schedule.Ask)
 	if !ok {
@@ -19,7 +22,7 @@
 	}
 	h.cfg.Answers.Answer(a.Box, c.Group, schedule.Refuse{
 		Ask:        a,
-		Reason:     lifecycle.ReasonRouteRemoved,
+		Reason:     lifecycle.ReasonMoved,
 		RetryAfter: time.Second,
 	})
 }
--- a/coordination/home/home.go
+++ b/coordination/home/home.go
@@ -58,6 +58,26 @@
 	HomeOf(group string) string
 }
 
+// StageChange is a planned change of one engine's stage.
+type StageChange struct {
+	Group, Service, Engine string
+	// Prefill is what it changes to.
+	Prefill bool
+}
+
+// Stages carries out changes of stages. Calls must not block.
+type Stages interface {
+	// Part is the pinned part of the engines that prefill, 0 if none is, and
+	// whether stages are planned at all.
+	Part() (part float64, planned bool)
+	Offer(c StageChange) ring.Outcome
+}
+
+// StageRefused tells a group that an engine does not change after all.
+type StageRefused struct {
+	Engine string
+}
+
 // Config configures the duty.
 type Config struct {
 	// Self is this box's name.
@@ -65,7 +85,10 @@
 	Answers Answerer
 	// Watch, if set, is told which engines to watch for a group that this box
 	// is home of; no engines ends the watch.
-	Watch  func(group string, engines []table.Endpoint)
+	Watch func(group string, engines []table.Endpoint)
+	// Stages, if set, is told of the changes of stages that are planned for groups
+	// that this box is home of.
+	Stages Stages
 	Policy schedule.Policy
 	Health health.Config
 	// QueueSize bounds the commands that wait for the duty.
@@ -100,6 +123,7 @@
 	paused   *ring.Ring[struct{}]
 	leaving  atomic.Bool
 	checked  time.Time
+	planned  time.Time
 	known    group.Groups
 	groups   map[string]*running
 	start    time.Time
@@ -225,6 +249,8 @@
 		h.answer(c.Group, g.Withdraw(now, body.ID))
 	case schedule.Load:
 		g.Report(body)
+	case StageRefused:
+		g.Unchanged(body.Engine)
 	case Evicted:
 		h.evicted(g, body)
 	}
@@ -259,6 +285,10 @@
 		h.checked = now
 		h.check(oldGrant, oldPlain)
 	}
+	if now.Sub(h.planned) >= planEvery {
+		h.planned = now
+		h.planStages(now)
+	}
 }
 
 // check asks the boxes about grants of at least an age, that of model requests
--- a/coordination/quota/quota.go
+++ b/coordination/quota/quota.go
@@ -4,8 +4,8 @@
 // Package quota holds the quotas of client accounts over all boxes. Each account
 // has a home, the first box in its rank, which counts for all and lends tokens
 // to the boxes that ask; the second in rank stands in for a home that it cannot
-// reach either. What a home knows is soft: the next one starts with an empty
-// bucket, as if all had been spent.
+// reach either. What a home knows is soft: the next one starts as if all had been
+// spent, but for a part of the slack.
 package quota
 
 import (
--- /dev/null
+++ b/coordination/stages/stages.go
@@ -0,0 +1,337 @@
+// Copyright 2026 The Runridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+// Package stages orders engines to change between prefill and decode. One box at a
+// time gives orders to an engine: it writes a lease for that engine to the platform's
+// store by compare-and-set, and the revision of the write is the fencing token. The
+// model is model/lease.pml.
+package stages
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"runridge.example/runridge/coordination/adapter"
+	"runridge.example/runridge/coordination/home"
+	"runridge.example/runridge/modules/log"
+	"runridge.example/runridge/modules/ring"
+	"runridge.example/runridge/modules/sleep"
+)
+
+// Lease is who may give orders to an engine.
+type Lease struct {
+	// Revision is that of the last write, by anybody; 0 is no lease.
+	Revision uint64
+	Holder   string
+}
+
+// Leases keeps the leases in the platform's store.
+type Leases interface {
+	// Lease reads the lease of an engine; revision 0 is none.
+	Lease(ctx context.Context, engine string) (Lease, error)
+	// WriteLease writes it if its revision is still the given one, 0 if there is
+	// none yet. Mark differs from write to write. It returns the new revision.
+	WriteLease(ctx context.Context, engine, holder string, mark, revision uint64) (uint64, error)
+	// EndLease removes it if its revision is still the given one.
+	EndLease(ctx context.Context, engine string, revision uint64) error
+}
+
+// Report is an engine's own word on its stage.
+type Report struct {
+	Prefill bool
+	// Changing says that an order is under way.
+	Changing bool
+	// Orders counts the orders that it has taken.
+	Orders uint64
+}
+
+// Order is one order to an engine.
+type Order struct {
+	Prefill bool
+	Holder  string
+	Fence   uint64
+	// Orders is the count at which the order may be carried out.
+	Orders uint64
+}
+
+// Engine is where an order goes.
+type Engine struct {
+	ID, Service, Address string
+}
+
+// Engines takes orders. An error of Order that is ErrRefused proves that the order
+// is not carried out; with any other it may be, even seconds later.
+type Engines interface {
+	Report(ctx context.Context, e Engine) (Report, error)
+	Order(ctx context.Context, e Engine, o Order) error
+}
+
+// ErrRefused is returned for an order that an engine turned away.
+var ErrRefused = errors.New("the engine refused the order")
+
+// Homes is told of engines that do not change after all.
+type Homes interface {
+	Offer(c home.Command) ring.Outcome
+}
+
+// Config configures a Keeper.
+type Config struct {
+	Self    string
+	Leases  Leases
+	Engines Engines
+	Homes   Homes
+	// Find gives the engine under an id if it may get orders.
+	Find func(id string) (Engine, bool)
+	// Known says whether an engine is remembered.
+	Known func(id string) bool
+	Rules Rules
+	Log   log.Logger
+}
+
+// Rules are what operators set.
+type Rules struct {
+	// Planned turns the planning on; Part, above 0, pins the part that prefills.
+	Planned bool
+	Part    float64
+	// Lease is the time for which a write of a lease gives the right to orders,
+	// and within which holders must not take turns; Thaw is for how long the
+	// orders of a box that stood still may yet arrive.
+	Lease, Thaw time.Duration
+}
+
+const (
+	// queueSize bounds the changes that wait: all engines of some groups.
+	queueSize = 256
+	// windowShare is the part of a lease, from when its write was sent, in which
+	// orders are sent: the rest is for their way.
+	windowShare = 0.6
+	callTimeout = time.Second
+	// unsureFor is how long an engine gets no further order after one whose answer
+	// was lost: it may be carried out some twelve seconds later.
+	unsureFor = 20 * time.Second
+	// tidyEvery is how often leases of engines that have gone are removed.
+	tidyEvery = 10 * time.Second
+)
+
+// Keeper is the duty.
+type Keeper struct {
+	cfg     Config
+	changes *ring.Ring[home.StageChange]
+
+	mutex sync.Mutex
+	rules Rules
+	// held are the revisions of the leases that this process wrote last, and
+	// unsure until when engines get no orders.
+	held   map[string]uint64
+	unsure map[string]time.Time
+	mark   uint64
+}
+
+// New makes the duty; Run starts it.
+func New(cfg Config) *Keeper {
+	return &Keeper{
+		cfg:     cfg,
+		rules:   cfg.Rules,
+		changes: ring.New[home.StageChange](queueSize),
+		held:    make(map[string]uint64),
+		unsure:  make(map[string]time.Time),
+		mark:    uint64(time.Now().UnixNano()),
+	}
+}
+
+// SetRules replaces what operators set.
+func (k *Keeper) SetRules(r Rules) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.rules = r
+}
+
+func (k *Keeper) current() Rules {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	return k.rules
+}
+
+// Part is the pinned part, and whether stages are planned.
+func (k *Keeper) Part() (float64, bool) {
+	r := k.current()
+	return r.Part, r.Planned && r.Lease > 0
+}
+
+// Offer queues a change.
+func (k *Keeper) Offer(c home.StageChange) ring.Outcome { return k.changes.Offer(c) }
+
+// Run carries changes out until the context ends, one after the other.
+func (k *Keeper) Run(ctx context.Context) error {
+	tidy := time.NewTicker(tidyEvery)
+	defer tidy.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case c := <-k.changes.C():
+			k.carryOut(ctx, c)
+		case <-tidy.C:
+			k.tidy(ctx)
+		}
+	}
+}
+
+// carryOut gives one order, and tells the group if it does not come about.
+func (k *Keeper) carryOut(ctx context.Context, c home.StageChange) {
+	err := k.change(ctx, c)
+	fields := log.Fields{log.FieldEngine: c.Engine, "group": c.Group, "prefill": c.Prefill}
+	switch {
+	case err == nil:
+		k.cfg.Log.WithFields(fields).Info("stage_ordered")
+		return
+	case errors.Is(err, errUnsure):
+		k.cfg.Log.WithFields(fields).WithError(err).Warn("stage_order_unanswered")
+		return
+	}
+	k.cfg.Log.WithFields(fields).WithError(err).Info("stage_order_dropped")
+	// A group that does not hear it leaves the engine out for a while.
+	_ = k.cfg.Homes.Offer(home.Command{From: k.cfg.Self, Group: c.Group, Body: home.StageRefused{Engine: c.Engine}})
+}
+
+// Reasons for which no order is given.
+var (
+	errLeft    = errors.New("the engine has left")
+	errBusy    = errors.New("the engine is changing, or an order to it is unanswered")
+	errTooLate = errors.New("the lease has run out")
+	errUnsure  = errors.New("the order may be carried out")
+)
+
+// change gives one order.
+func (k *Keeper) change(ctx context.Context, c home.StageChange) error {
+	e, ok := k.cfg.Find(c.Engine)
+	if !ok {
+		return errLeft
+	}
+	if time.Now().Before(k.unsureUntil(e.ID)) {
+		return errBusy
+	}
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	report, err := k.cfg.Engines.Report(call, e)
+	cancel()
+	switch {
+	case err != nil:
+		return err
+	case report.Changing:
+		return errBusy
+	case report.Prefill == c.Prefill:
+		return nil
+	}
+	held, err := k.acquire(ctx, e.ID)
+	if err != nil {
+		return err
+	}
+	return k.order(ctx, e, held, Order{Prefill: c.Prefill, Holder: k.cfg.Self, Fence: held.revision, Orders: report.Orders})
+}
+
+// order sends an order within the lease's window.
+func (k *Keeper) order(ctx context.Context, e Engine, held held, o Order) error {
+	window := time.Duration(windowShare * float64(k.current().Lease))
+	until := held.sent.Add(window)
+	if !time.Now().Before(until) {
+		return errTooLate
+	}
+	// Ending with the context resets the connection: nothing of the order is left
+	// on its way.
+	call, cancel := context.WithDeadline(ctx, until)
+	defer cancel()
+	err := k.cfg.Engines.Order(call, e, o)
+	if err == nil || errors.Is(err, ErrRefused) || errors.Is(err, adapter.ErrConflict) {
+		return err
+	}
+	k.mutex.Lock()
+	k.unsure[e.ID] = time.Now().Add(unsureFor)
+	k.mutex.Unlock()
+	return errors.Join(errUnsure, err)
+}
+
+func (k *Keeper) unsureUntil(engine string) time.Time {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	return k.unsure[engine]
+}
+
+// held is a lease that this box holds: its revision, and when its write was sent.
+type held struct {
+	revision uint64
+	sent     time.Time
+}
+
+// acquire writes the lease of an engine. One that another box held is ordered with
+// only after the other's orders are all over, and a whole lease's time beside: no
+// two holders take turns within that time.
+func (k *Keeper) acquire(ctx context.Context, engine string) (held, error) {
+	k.mutex.Lock()
+	revision := k.held[engine]
+	k.mutex.Unlock()
+	h, err := k.write(ctx, engine, revision)
+	if !errors.Is(err, adapter.ErrConflict) {
+		return h, err
+	}
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	found, err := k.cfg.Leases.Lease(call, engine)
+	cancel()
+	if err != nil {
+		return held{}, err
+	}
+	if h, err = k.write(ctx, engine, found.Revision); err != nil {
+		return held{}, err
+	}
+	if found.Holder == k.cfg.Self || found.Revision == 0 {
+		return h, nil
+	}
+	r := k.current()
+	wait := 2*r.Lease + r.Thaw
+	k.cfg.Log.WithFields(log.Fields{log.FieldEngine: engine, "held_by": found.Holder, "revision": found.Revision, "wait_ms": wait.Milliseconds()}).Info("stage_lease_taken")
+	sleep.For(ctx, wait)
+	// Its window has passed meanwhile.
+	return k.write(ctx, engine, h.revision)
+}
+
+// write writes a lease by compare-and-set.
+func (k *Keeper) write(ctx context.Context, engine string, revision uint64) (held, error) {
+	k.mutex.Lock()
+	k.mark++
+	mark := k.mark
+	k.mutex.Unlock()
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	sent := time.Now()
+	written, err := k.cfg.Leases.WriteLease(call, engine, k.cfg.Self, mark, revision)
+	if err != nil {
+		return held{}, err
+	}
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.held[engine] = written
+	return held{revision: written, sent: sent}, nil
+}
+
+// tidy removes the leases of engines that are remembered no more.
+func (k *Keeper) tidy(ctx context.Context) {
+	k.mutex.Lock()
+	gone := make(map[string]uint64)
+	for engine, revision := range k.held {
+		if !k.cfg.Known(engine) {
+			gone[engine] = revision
+			delete(k.held, engine)
+			delete(k.unsure, engine)
+		}
+	}
+	k.mutex.Unlock()
+	for engine, revision := range gone {
+		call, cancel := context.WithTimeout(ctx, callTimeout)
+		err := k.cfg.Leases.EndLease(call, engine, revision)
+		cancel()
+		if err != nil {
+			k.cfg.Log.WithFields(log.Fields{log.FieldEngine: engine}).WithError(err).Info("stage_lease_left")
+		}
+	}
+}
--- a/modules/setting/setting.go
+++ b/modules/setting/setting.go
@@ -64,6 +64,14 @@
 	PlatformObjects = "objects"
 )
 
+// What may become of the stages of engines.
+const (
+	// StagesFixed leaves them as they are; the default.
+	StagesFixed = "fixed"
+	// StagesPlanned plans them by the prompt work that is asked for.
+	StagesPlanned = "planned"
+)
+
 // Relay is the settings for routed services.
 type Relay struct {
 	// Listen is where callers of routed services connect, and ReadyListen
@@ -80,6 +88,15 @@
 	QuotaOverage       float64 `json:"quota_overage,omitempty"`
 	QuotaSlack         float64 `json:"quota_slack,omitempty"`
 	QuotaWindowSeconds float64 `json:"quota_window_seconds,omitempty"`
+	// Stages says whether engines are ordered to change between prefill and
+	// decode: StagesPlanned or StagesFixed; PrefillPart, above 0, pins the part
+	// of them that prefills.
+	Stages      string  `json:"stages,omitempty"`
+	PrefillPart float64 `json:"prefill_part,omitempty"`
+	// LeaseMS is for how long a lease gives the right to orders, and ThawMS for
+	// how long the orders of a box that stood still may yet arrive.
+	LeaseMS float64 `json:"lease_ms,omitempty"`
+	ThawMS  float64 `json:"thaw_ms,omitempty"`
 }
 
 // Limits bound what a box takes in. 0 means the default.
@@ -186,6 +203,18 @@
 	default:
 		add("platform_protocol", b.PlatformProtocol, PlatformTable+", "+PlatformObjects)
 	}
+	switch b.Relay.Stages {
+	case "", StagesFixed:
+	case StagesPlanned:
+		if b.Relay.LeaseMS <= 0 {
+			add("relay.lease_ms", b.Relay.LeaseMS, "above 0 where stages are planned")
+		}
+	default:
+		add("relay.stages", b.Relay.Stages, StagesFixed+", "+StagesPlanned)
+	}
+	if b.Relay.PrefillPart < 0 || b.Relay.PrefillPart > 1 {
+		add("relay.prefill_part", b.Relay.PrefillPart, "0 (by the work that is asked for) to 1")
+	}
 	seen := make(map[string]string)
 	for _, a := range addresses {
 		parsed, err := netip.ParseAddrPort(a.value)
@@ -238,6 +267,8 @@
 		{"relay.quota_overage", b.Relay.QuotaOverage},
 		{"relay.quota_slack", b.Relay.QuotaSlack},
 		{"relay.quota_window_seconds", b.Relay.QuotaWindowSeconds},
+		{"relay.lease_ms", b.Relay.LeaseMS},
+		{"relay.thaw_ms", b.Relay.ThawMS},
 	}
 	for _, a := range amounts {
 		if a.value < 0 || a.value > maxAmount {
--- a/protocol/relayapi/relayapi.go
+++ b/protocol/relayapi/relayapi.go
@@ -47,6 +47,8 @@
 	FreePath string
 	// HandleField and TokensField are in the answer to a prefill.
 	HandleField, TokensField string
+	// Orders are the names of orders to engines.
+	Orders OrderNames
 }
 
 // Default are runridge's own names.
@@ -68,6 +70,11 @@
 		FreePath:     "/runridge/kept/",
 		HandleField:  "handle",
 		TokensField:  "tokens",
+		Orders: OrderNames{
+			Path: "/runridge/orders", ReportPath: "/runridge/report",
+			Operation: "operation", ChangeStage: "stage", Stage: "stage", Prefill: "prefill", Decode: "decode",
+			Holder: "holder", Fence: "fence", Expected: "expected", Taken: "taken", Busy: "busy",
+		},
 	}
 }
 
--- a/state/quota/quota.go
+++ b/state/quota/quota.go
@@ -5,7 +5,7 @@
 // the account's home, counts for all in a token bucket and lends tokens to the
 // boxes that ask. It holds in any sliding window, through the death of homes and
 // boxes: lent tokens count as used when they are lent, they end, and a new home
-// starts with an empty bucket. It does no I/O, and times are the box's uptime.
+// starts as if all had been spent, but for a part of the slack. It does no I/O, and times are the box's uptime.
 package quota
 
 import (
@@ -43,6 +43,8 @@
 type Terms struct {
 	// Rate is in units a second, Burst the most that gathers, in units.
 	Rate, Burst float64
+	// Start is what a new home has, in units.
+	Start float64
 	// Lends says that tokens may be lent ahead of need.
 	Lends bool
 }
@@ -51,17 +53,24 @@
 // from each other have a home each; their parts add up to the whole, and to
 // the part of the slack that is theirs.
 func (b Bound) Terms(q table.Quota, seen, all int) Terms {
+	start := min(startShare*b.Slack, q.Burst)
 	if seen >= all {
-		return Terms{Rate: q.Rate, Burst: q.Burst, Lends: b.Overage > 0}
+		return Terms{Rate: q.Rate, Burst: q.Burst, Start: start, Lends: b.Overage > 0}
 	}
 	part := float64(seen) / float64(max(all, 1))
 	slack := 0.0
 	if b.Window > 0 {
 		slack = slackShare * b.Slack / b.Window.Seconds()
 	}
-	return Terms{Rate: min(q.Rate, (q.Rate+slack)*part), Burst: q.Burst * part}
+	return Terms{Rate: min(q.Rate, (q.Rate+slack)*part), Burst: q.Burst * part, Start: start * part}
 }
 
+// startShare is the part of the slack that a new home starts with, though all that
+// the quota allows may have been spent before: four homes may follow each other in
+// one window. With nothing to start with, 0.37 of the requests in the half second
+// after all boxes of a fleet of 100 had been killed were refused as over quota.
+const startShare = 0.125
+
 // actingShare is what a box gives out that stands in for a home which it cannot
 // reach: the home may only be slow, and go on for others. Half of the quota
 // beside the whole stays within overage and slack for seconds: on 29,000 units a
@@ -70,12 +79,12 @@
 
 // Acting are the terms of a box that stands in for a silent home.
 func (t Terms) Acting() Terms {
-	return Terms{Rate: t.Rate * actingShare, Burst: t.Burst * actingShare}
+	return Terms{Rate: t.Rate * actingShare, Burst: t.Burst * actingShare, Start: t.Start * actingShare}
 }
 
 // Bucket is the token bucket of one account at its home. It is an immutable
-// value; the zero value is empty. An empty start assumes that whatever may have
-// been spent before, has been.
+// value. A new one has what the terms give it to start with, out of the slack: it is
+// assumed that whatever the quota allowed before has been spent.
 type Bucket struct {
 	// level is in units, as of at. It is below 0 when requests that wait were
 	// admitted.
@@ -90,7 +99,7 @@
 // at once.
 func (b Bucket) WithTime(now time.Duration, t Terms) Bucket {
 	if !b.known {
-		return Bucket{at: now, known: true}
+		return Bucket{level: min(t.Start, t.Burst), at: now, known: true}
 	}
 	grown := t.Rate * max(now-b.at, 0).Seconds()
 	b.level = min(b.level+grown, t.Burst)
--- a/state/schedule/configure.go
+++ b/state/schedule/configure.go
@@ -21,6 +21,9 @@
 			spec := g.engines[j].spec
 			g.engines[j] = old[i]
 			g.engines[j].spec = spec
+			if spec.Prefill != old[i].spec.Prefill {
+				g.engines[j].changingUntil = 0
+			}
 			g.engines[j].prefills = nil
 			g.engines[j].memory.drop()
 		}
--- a/state/schedule/group.go
+++ b/state/schedule/group.go
@@ -12,6 +12,7 @@
 	"runridge.example/runridge/state/health"
 	"runridge.example/runridge/state/lifecycle"
 	"runridge.example/runridge/state/prefix"
+	"runridge.example/runridge/state/stages"
 )
 
 const (
@@ -34,8 +35,10 @@
 
 // engine is what the group keeps of one engine beside its view.
 type engine struct {
-	spec    EngineSpec
-	breaker health.Breaker
+	// changingUntil is until when the engine gets nothing since it changes its stage.
+	changingUntil int64
+	spec          EngineSpec
+	breaker       health.Breaker
 	// results is the health of its prefill results: an engine may read prompts
 	// well and not keep what it has read.
 	results health.Breaker
@@ -119,6 +122,8 @@
 	// releases counts decode slots that came free, decayed.
 	releases usage
 	turn     int
+	// work is the prompt work that was asked for.
+	work stages.Work
 }
 
 func (c Config) withDefaults() Config {
@@ -175,6 +180,7 @@
 		g.recentAsks = g.recentAsks.plus(t, 1, releaseHalfLife)
 	}
 	g.usual = g.usual.with(a)
+	g.noteWork(a, t)
 	w := g.waiter(a, t)
 	if refusal, refused := g.refuseEarly(w, t); refused {
 		return []Decision{refusal}
--- a/state/schedule/queue.go
+++ b/state/schedule/queue.go
@@ -172,7 +172,7 @@
 	now := g.start.Add(time.Duration(t))
 	for i := range g.engines {
 		e, v := &g.engines[i], &g.view.Engines[i]
-		out := e.spec.Leaving || e.breaker.Out(now) || t < e.fullUntil || slices.Contains(avoid, e.spec.Name)
+		out := e.spec.Leaving || e.breaker.Out(now) || t < e.fullUntil || t < e.changingUntil || slices.Contains(avoid, e.spec.Name)
 		v.Prefill = e.spec.Prefill && !out && !e.results.Out(now)
 		v.Decode = e.spec.Decode && !out
 		if v.Queued > 0 && v.FreeAt < t {
--- /dev/null
+++ b/state/stages/stages.go
@@ -0,0 +1,150 @@
+// Copyright 2026 The Runridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+// Package stages plans which engines of a group prefill and which decode, from the
+// prompt work that the group is asked for. It is pure: what was observed is an
+// argument.
+package stages
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+// Engine is one engine of a group as the plan sees it.
+type Engine struct {
+	Name string
+	// Prefill is its stage, or the one that it is changing to.
+	Prefill bool
+	// Changing engines are away until they have their new stage.
+	Changing bool
+	// Ready engines may be ordered to change: they are up, not leaving, and not
+	// changing already.
+	Ready bool
+	// TokenNS is the time in which it prefills one token, in nanoseconds.
+	TokenNS float64
+}
+
+// Load is what a group was asked for.
+type Load struct {
+	// Seen is for how long the group has been asked.
+	Seen time.Duration
+	// Mean and Peak are the prompt work asked for, in seconds of one engine's
+	// prefilling for each second: over all that is remembered, and in the
+	// busiest seconds of it.
+	Mean, Peak float64
+}
+
+// Config sets how a group is planned.
+type Config struct {
+	// Part, above 0, pins the part of the engines that prefill.
+	Part float64
+}
+
+const (
+	// leastSeen is how long a group is observed before it is planned: three
+	// seconds show the rate of prompts to a fifth at ten a second.
+	leastSeen = 3 * time.Second
+	// busy is the part of its time that a prefill engine is planned to work.
+	busy = 0.85
+	// headroom is how many times the mean work the prefill engines are planned
+	// for. Rushes bring twice the usual; what is beyond that is read beside the
+	// batches of decode engines.
+	headroom = 2.0
+	// least is the fewest engines that prefill in a group that has others, and
+	// leastLarge in one of at least large engines: one may be lost.
+	least      = 1
+	leastLarge = 2
+	large      = 8
+	// overloaded is the part of the prefill engines' time that the mean work has
+	// to take before engines change back: each is away for seconds, and loses
+	// what it decodes.
+	overloaded = 0.9
+	// spareToChange is how many more engines than needed prefill before any
+	// changes.
+	spareToChange = 1
+)
+
+// Plan lists the engines that should change to decoding and to prefilling.
+type Plan struct {
+	// Wanted is how many engines should prefill.
+	Wanted              int
+	ToDecode, ToPrefill []string
+}
+
+// None says that nothing changes.
+func (p Plan) None() bool { return len(p.ToDecode)+len(p.ToPrefill) == 0 }
+
+// Make plans a group. Engines that prefill without need all change at once: they
+// stand idle. One at a time changes back.
+func Make(engines []Engine, l Load, c Config) Plan {
+	prefills, changing := 0, false
+	for _, e := range engines {
+		if e.Prefill {
+			prefills++
+		}
+		changing = changing || e.Changing
+	}
+	p := Plan{Wanted: prefills}
+	if l.Seen < leastSeen || len(engines) <= least {
+		return p
+	}
+	p.Wanted = wanted(len(engines), l, c)
+	switch {
+	case prefills-p.Wanted >= spareToChange:
+		p.ToDecode = slowest(engines, prefills-p.Wanted)
+	case prefills < p.Wanted && !changing && (c.Part > 0 || l.Mean > overloaded*float64(prefills)):
+		p.ToPrefill = decodesOf(engines)
+	}
+	return p
+}
+
+// wanted is how many of so many engines should prefill.
+func wanted(all int, l Load, c Config) int {
+	floor := least
+	if all >= large {
+		floor = leastLarge
+	}
+	n := int(math.Ceil(l.Mean * headroom / busy))
+	if c.Part > 0 {
+		n = int(math.Round(c.Part * float64(all)))
+	}
+	return min(max(n, floor), all-1)
+}
+
+// slowest are the engines that prefill the slowest, of those that may change.
+func slowest(engines []Engine, n int) []string {
+	var fit []Engine
+	for _, e := range engines {
+		if e.Prefill && e.Ready {
+			fit = append(fit, e)
+		}
+	}
+	slices.SortStableFunc(fit, func(a, b Engine) int {
+		return cmp.Or(cmp.Compare(b.TokenNS, a.TokenNS), cmp.Compare(a.Name, b.Name))
+	})
+	var out []string
+	for _, e := range fit[:min(n, len(fit))] {
+		out = append(out, e.Name)
+	}
+	return out
+}
+
+// decodesOf is the engine that would prefill the fastest, of those that decode.
+func decodesOf(engines []Engine) []string {
+	best := -1
+	for i, e := range engines {
+		if e.Prefill || !e.Ready {
+			continue
+		}
+		if best < 0 || e.TokenNS < engines[best].TokenNS {
+			best = i
+		}
+	}
+	if best < 0 {
+		return nil
+	}
+	return []string{engines[best].Name}
+}
--- a/state/table/route.go
+++ b/state/table/route.go
@@ -62,6 +62,9 @@
 	TokensPerEvent int `json:"tokens_per_event,omitempty"`
 	// KeptMS is how long an engine keeps a prefill result that nobody takes.
 	KeptMS int `json:"kept_ms,omitempty"`
+	// SwitchMS is how long an engine is away when it changes its stage, in
+	// milliseconds; 0 means that engines cannot be ordered to.
+	SwitchMS int `json:"switch_ms,omitempty"`
 }
 
 // Limits bound what callers of the routes may send. 0 is the default.
