Stages: leases and orders tested over a faulty store and links, the model in line with the code

The oracle over three boxes found that a lease whose write was answered by nobody was taken for waited out: two boxes took turns within 16 ms (rapid).

--- a/coordination/stages/stages.go
+++ b/coordination/stages/stages.go
@@ -13,6 +13,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"runridge.example/runridge/coordination/adapter"
 	"runridge.example/runridge/coordination/home"
 	"runridge.example/runridge/modules/log"
@@ -108,6 +110,8 @@
 	// orders are sent: the rest is for their way.
 	windowShare = 0.6
 	callTimeout = time.Second
+	// maxOrders is how many engines are ordered at a time.
+	maxOrders = 16
 	// unsureFor is how long an engine gets no further order after one whose answer
 	// was lost: it may be carried out some twelve seconds later.
 	unsureFor = 20 * time.Second
@@ -122,11 +126,13 @@
 
 	mutex sync.Mutex
 	rules Rules
-	// held are the revisions of the leases that this process wrote last, and
-	// unsure until when engines get no orders.
-	held   map[string]uint64
-	unsure map[string]time.Time
-	mark   uint64
+	// held are the leases that this process wrote last, and unsure until when
+	// engines get no orders.
+	held map[string]held
+	// ordering are the engines that an order is under way to.
+	ordering map[string]bool
+	unsure   map[string]time.Time
+	mark     uint64
 }
 
 // New makes the duty; Run starts it.
@@ -135,9 +141,11 @@
 		cfg:     cfg,
 		rules:   cfg.Rules,
 		changes: ring.New[home.StageChange](queueSize),
-		held:    make(map[string]uint64),
+		held:    make(map[string]held),
 		unsure:  make(map[string]time.Time),
-		mark:    uint64(time.Now().UnixNano()),
+
+		ordering: make(map[string]bool),
+		mark:     uint64(time.Now().UnixNano()),
 	}
 }
 
@@ -163,16 +171,22 @@
 // Offer queues a change.
 func (k *Keeper) Offer(c home.StageChange) ring.Outcome { return k.changes.Offer(c) }
 
-// Run carries changes out until the context ends, one after the other.
+// Run carries changes out until the context ends, some at a time: a lease that has
+// to be waited out must not hold up all others.
 func (k *Keeper) Run(ctx context.Context) error {
 	tidy := time.NewTicker(tidyEvery)
 	defer tidy.Stop()
+	var orders errgroup.Group
+	orders.SetLimit(maxOrders)
 	for {
 		select {
 		case <-ctx.Done():
-			return nil
+			return orders.Wait()
 		case c := <-k.changes.C():
-			k.carryOut(ctx, c)
+			orders.Go(func() error {
+				k.carryOut(ctx, c)
+				return nil
+			})
 		case <-tidy.C:
 			k.tidy(ctx)
 		}
@@ -210,9 +224,10 @@
 	if !ok {
 		return errLeft
 	}
-	if time.Now().Before(k.unsureUntil(e.ID)) {
+	if !k.begin(e.ID) {
 		return errBusy
 	}
+	defer k.end(e.ID)
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	report, err := k.cfg.Engines.Report(call, e)
 	cancel()
@@ -252,83 +267,107 @@
 	return errors.Join(errUnsure, err)
 }
 
-func (k *Keeper) unsureUntil(engine string) time.Time {
+// begin says whether an order to an engine may begin. One at a time keeps a box's
+// own fencing tokens in order.
+func (k *Keeper) begin(engine string) bool {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	return k.unsure[engine]
+	if k.ordering[engine] || time.Now().Before(k.unsure[engine]) {
+		return false
+	}
+	k.ordering[engine] = true
+	return true
 }
 
-// held is a lease that this box holds: its revision, and when its write was sent.
+func (k *Keeper) end(engine string) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	delete(k.ordering, engine)
+}
+
+// held is a lease that this process has written: its revision, when the write was
+// sent, and from when on orders may be given under it.
 type held struct {
 	revision uint64
 	sent     time.Time
+	from     time.Time
 }
 
-// acquire writes the lease of an engine. One that another box held is ordered with
-// only after the other's orders are all over, and a whole lease's time beside: no
-// two holders take turns within that time.
+// acquire writes the lease of an engine, and waits until orders may be given under
+// it. One that another process wrote before, if of this box, is waited out: all of
+// the other's orders are over then, and a whole lease's time beside, so that no two
+// holders take turns within that time.
 func (k *Keeper) acquire(ctx context.Context, engine string) (held, error) {
 	k.mutex.Lock()
-	revision := k.held[engine]
+	known := k.held[engine]
 	k.mutex.Unlock()
-	h, err := k.write(ctx, engine, revision)
-	if !errors.Is(err, adapter.ErrConflict) {
-		return h, err
+	h, err := k.write(ctx, engine, known.revision, known.from)
+	if errors.Is(err, adapter.ErrConflict) {
+		h, err = k.takeOver(ctx, engine)
 	}
-	call, cancel := context.WithTimeout(ctx, callTimeout)
-	found, err := k.cfg.Leases.Lease(call, engine)
-	cancel()
 	if err != nil {
 		return held{}, err
 	}
-	if h, err = k.write(ctx, engine, found.Revision); err != nil {
+	if wait := time.Until(h.from); wait > 0 {
+		sleep.For(ctx, wait)
+		// The window of the first write has passed meanwhile.
+		return k.write(ctx, engine, h.revision, h.from)
+	}
+	return h, nil
+}
+
+// takeOver writes the lease in place of the one that stands.
+func (k *Keeper) takeOver(ctx context.Context, engine string) (held, error) {
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	found, err := k.cfg.Leases.Lease(call, engine)
+	if err != nil {
 		return held{}, err
 	}
-	if found.Holder == k.cfg.Self || found.Revision == 0 {
-		return h, nil
+	if found.Revision == 0 {
+		return k.write(ctx, engine, 0, time.Time{})
 	}
 	r := k.current()
 	wait := 2*r.Lease + r.Thaw
 	k.cfg.Log.WithFields(log.Fields{log.FieldEngine: engine, "held_by": found.Holder, "revision": found.Revision, "wait_ms": wait.Milliseconds()}).Info("stage_lease_taken")
-	sleep.For(ctx, wait)
-	// Its window has passed meanwhile.
-	return k.write(ctx, engine, h.revision)
+	// The wait counts from after the write: whoever held it cannot renew it then.
+	return k.write(ctx, engine, found.Revision, time.Now().Add(wait+callTimeout))
 }
 
 // write writes a lease by compare-and-set.
-func (k *Keeper) write(ctx context.Context, engine string, revision uint64) (held, error) {
+func (k *Keeper) write(ctx context.Context, engine string, revision uint64, from time.Time) (held, error) {
 	k.mutex.Lock()
 	k.mark++
 	mark := k.mark
 	k.mutex.Unlock()
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	sent := time.Now()
-	written, err := k.cfg.Leases.WriteLease(call, engine, k.cfg.Self, mark, revision)
-	if err != nil {
+	h := held{sent: time.Now(), from: from}
+	var err error
+	if h.revision, err = k.cfg.Leases.WriteLease(call, engine, k.cfg.Self, mark, revision); err != nil {
 		return held{}, err
 	}
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	k.held[engine] = written
-	return held{revision: written, sent: sent}, nil
+	k.held[engine] = h
+	return h, nil
 }
 
 // tidy removes the leases of engines that are remembered no more.
 func (k *Keeper) tidy(ctx context.Context) {
 	k.mutex.Lock()
-	gone := make(map[string]uint64)
-	for engine, revision := range k.held {
+	gone := make(map[string]held)
+	for engine, h := range k.held {
 		if !k.cfg.Known(engine) {
-			gone[engine] = revision
+			gone[engine] = h
 			delete(k.held, engine)
 			delete(k.unsure, engine)
 		}
 	}
 	k.mutex.Unlock()
-	for engine, revision := range gone {
+	for engine, h := range gone {
 		call, cancel := context.WithTimeout(ctx, callTimeout)
-		err := k.cfg.Leases.EndLease(call, engine, revision)
+		err := k.cfg.Leases.EndLease(call, engine, h.revision)
 		cancel()
 		if err != nil {
 			k.cfg.Log.WithFields(log.Fields{log.FieldEngine: engine}).WithError(err).Info("stage_lease_left")
--- /dev/null
+++ b/coordination/stages/stages_test.go
@@ -0,0 +1,334 @@
+// Copyright 2026 The Runridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package stages
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"runridge.example/runridge/coordination/adapter"
+	"runridge.example/runridge/coordination/home"
+	"runridge.example/runridge/modules/log"
+	"runridge.example/runridge/modules/ring"
+	"runridge.example/runridge/tests/seed"
+)
+
+func TestMain(m *testing.M) {
+	os.Exit(seed.Run(m, 150))
+}
+
+var (
+	errLost = errors.New("no answer")
+	rules   = Rules{Planned: true, Lease: 3 * time.Second, Thaw: 300 * time.Millisecond}
+)
+
+// arrived is an order that reached the engine.
+type arrived struct {
+	at     time.Time
+	holder string
+	fence  uint64
+}
+
+// world is one engine and a store, with faults that a test draws.
+type world struct {
+	mutex    sync.Mutex
+	luck     *rand.Rand
+	revision uint64
+	lease    Lease
+	// storeLoses and engineLoses are the chances that an answer is lost, and slow
+	// the longest time that a call takes.
+	storeLoses, engineLoses float64
+	slow                    time.Duration
+
+	prefill bool
+	orders  uint64
+	arrived []arrived
+	// runs counts the orders that were carried out.
+	runs int
+}
+
+// delay is the way of a call; false means that the context ended first.
+func (w *world) delay(ctx context.Context) bool {
+	w.mutex.Lock()
+	d := time.Duration(w.luck.Int64N(int64(w.slow) + 1))
+	w.mutex.Unlock()
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (w *world) chance(p float64) bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.luck.Float64() < p
+}
+
+func (w *world) Lease(ctx context.Context, _ string) (Lease, error) {
+	if !w.delay(ctx) {
+		return Lease{}, errLost
+	}
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.lease, nil
+}
+
+// WriteLease may be done long after its caller has gone.
+func (w *world) WriteLease(ctx context.Context, _, holder string, _, revision uint64) (uint64, error) {
+	done := w.delay(ctx)
+	if !done && w.chance(0.5) {
+		return 0, errLost
+	}
+	w.mutex.Lock()
+	if w.lease.Revision != revision {
+		w.mutex.Unlock()
+		return 0, adapter.ErrConflict
+	}
+	w.revision++
+	written := w.revision
+	w.lease = Lease{Revision: written, Holder: holder}
+	w.mutex.Unlock()
+	if !done || w.chance(w.storeLoses) {
+		return 0, errLost
+	}
+	return written, nil
+}
+
+func (w *world) EndLease(context.Context, string, uint64) error { return nil }
+
+func (w *world) Report(ctx context.Context, _ Engine) (Report, error) {
+	if !w.delay(ctx) {
+		return Report{}, errLost
+	}
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return Report{Prefill: w.prefill, Orders: w.orders}, nil
+}
+
+// Order arrives, and may be carried out only seconds later.
+func (w *world) Order(ctx context.Context, _ Engine, o Order) error {
+	if !w.delay(ctx) {
+		return errLost
+	}
+	w.mutex.Lock()
+	w.arrived = append(w.arrived, arrived{time.Now(), o.Holder, o.Fence})
+	w.mutex.Unlock()
+	if w.chance(w.engineLoses) {
+		w.mutex.Lock()
+		late := time.Duration(w.luck.Int64N(int64(12 * time.Second)))
+		w.mutex.Unlock()
+		time.AfterFunc(late, func() { _ = w.carryOut(o) })
+		return errLost
+	}
+	return w.carryOut(o)
+}
+
+func (w *world) carryOut(o Order) error {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if o.Orders != w.orders {
+		return ErrRefused
+	}
+	w.orders++
+	w.prefill = o.Prefill
+	w.runs++
+	return nil
+}
+
+func (w *world) Offer(home.Command) ring.Outcome { return ring.Accepted }
+
+func (w *world) keeper(name string) *Keeper {
+	return New(Config{
+		Self: name, Leases: w, Engines: w, Homes: w, Rules: rules, Log: log.Discard(),
+		Find:  func(id string) (Engine, bool) { return Engine{ID: id}, true },
+		Known: func(string) bool { return true },
+	})
+}
+
+// check holds the orders that arrived against the rules: fences never fall, each is
+// one holder's, and no two holders take turns within a lease.
+func (w *world) check() string {
+	holders := make(map[uint64]string)
+	for i, a := range w.arrived {
+		if h, known := holders[a.fence]; known && h != a.holder {
+			return fmt.Sprintf("fence %d is of %s and %s", a.fence, h, a.holder)
+		}
+		holders[a.fence] = a.holder
+		if i == 0 {
+			continue
+		}
+		before := w.arrived[i-1]
+		if a.fence < before.fence {
+			return fmt.Sprintf("fence %d of %s came after %d of %s", a.fence, a.holder, before.fence, before.holder)
+		}
+		if a.holder != before.holder && a.at.Sub(before.at) < rules.Lease {
+			return fmt.Sprintf("%s and %s took turns within %v", before.holder, a.holder, a.at.Sub(before.at))
+		}
+	}
+	return ""
+}
+
+// TestOracleHolders drives three boxes that want to order one engine to and fro, over
+// a store and links that are slow, lose answers and do writes late.
+func TestOracleHolders(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		type want struct {
+			at      time.Duration
+			box     int
+			prefill bool
+		}
+		wants := rapid.SliceOfN(rapid.Custom(func(r *rapid.T) want {
+			return want{
+				at:      time.Duration(rapid.IntRange(0, 20_000).Draw(r, "at ms")) * time.Millisecond,
+				box:     rapid.IntRange(0, 2).Draw(r, "box"),
+				prefill: rapid.Bool().Draw(r, "prefill"),
+			}
+		}), 1, 12).Draw(r, "wants")
+		luck := rapid.Uint64().Draw(r, "luck")
+		storeLoses := rapid.SampledFrom([]float64{0, 0.3}).Draw(r, "store loses")
+		engineLoses := rapid.SampledFrom([]float64{0, 0.3}).Draw(r, "engine loses")
+		slow := time.Duration(rapid.SampledFrom([]int{5, 600, 2500}).Draw(r, "slow ms")) * time.Millisecond
+		failure := ""
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			w := &world{luck: rand.New(rand.NewPCG(luck, 1)), storeLoses: storeLoses, engineLoses: engineLoses, slow: slow, prefill: true}
+			var keepers []*Keeper
+			for i := range 3 {
+				k := w.keeper(fmt.Sprint("box-", i))
+				keepers = append(keepers, k)
+				go func() { _ = k.Run(ctx) }()
+			}
+			for _, x := range wants {
+				time.AfterFunc(x.at, func() { _ = keepers[x.box].Offer(home.StageChange{Engine: "e", Prefill: x.prefill}) })
+			}
+			time.Sleep(2 * time.Minute)
+			cancel()
+			time.Sleep(time.Minute)
+			w.mutex.Lock()
+			defer w.mutex.Unlock()
+			failure = w.check()
+		})
+		if failure != "" {
+			r.Fatal(failure)
+		}
+	})
+}
+
+// fresh runs a test on a world without faults.
+func fresh(t *testing.T, body func(ctx context.Context, w *world)) {
+	synctest.Test(t, func(t *testing.T) {
+		body(t.Context(), &world{luck: rand.New(rand.NewPCG(1, 1)), prefill: true})
+	})
+}
+
+func TestOrders(t *testing.T) {
+	toDecode := home.StageChange{Engine: "e"}
+	t.Run("an engine that nobody ordered changes at once", func(t *testing.T) {
+		fresh(t, func(ctx context.Context, w *world) {
+			begin := time.Now()
+			if err := w.keeper("a").change(ctx, toDecode); err != nil || w.prefill {
+				t.Errorf("prefill %v, error %v", w.prefill, err)
+			}
+			if took := time.Since(begin); took > time.Second {
+				t.Errorf("took %v", took)
+			}
+		})
+	})
+	t.Run("one that another box ordered is waited for", func(t *testing.T) {
+		fresh(t, func(ctx context.Context, w *world) {
+			if err := w.keeper("a").change(ctx, toDecode); err != nil {
+				t.Error(err)
+			}
+			begin := time.Now()
+			if err := w.keeper("b").change(ctx, home.StageChange{Engine: "e", Prefill: true}); err != nil || !w.prefill {
+				t.Errorf("prefill %v, error %v", w.prefill, err)
+			}
+			if took := time.Since(begin); took < 2*rules.Lease+rules.Thaw {
+				t.Errorf("waited only %v", took)
+			}
+		})
+	})
+	t.Run("one that has the stage is left alone", func(t *testing.T) {
+		fresh(t, func(ctx context.Context, w *world) {
+			if err := w.keeper("a").change(ctx, home.StageChange{Engine: "e", Prefill: true}); err != nil || len(w.arrived) > 0 {
+				t.Errorf("orders %d, error %v", len(w.arrived), err)
+			}
+		})
+	})
+	t.Run("after a lost answer nothing more is ordered for a while", func(t *testing.T) {
+		fresh(t, func(ctx context.Context, w *world) {
+			w.engineLoses = 1
+			k := w.keeper("a")
+			if err := k.change(ctx, toDecode); !errors.Is(err, errUnsure) {
+				t.Errorf("error %v", err)
+			}
+			if err := k.change(ctx, toDecode); !errors.Is(err, errBusy) {
+				t.Errorf("second order: %v", err)
+			}
+			time.Sleep(unsureFor)
+			if err := k.change(ctx, toDecode); err != nil || w.runs != 1 {
+				t.Errorf("after the order was carried out late: %v, %d carried out", err, w.runs)
+			}
+		})
+	})
+	t.Run("a box that stood still between its lease and its order gives none", func(t *testing.T) {
+		fresh(t, func(ctx context.Context, w *world) {
+			k := w.keeper("a")
+			h, err := k.acquire(ctx, "e")
+			if err != nil {
+				t.Error(err)
+			}
+			time.Sleep(rules.Lease)
+			if err := k.order(ctx, Engine{ID: "e"}, h, Order{Holder: "a", Fence: h.revision}); !errors.Is(err, errTooLate) || len(w.arrived) > 0 {
+				t.Errorf("error %v, %d orders", err, len(w.arrived))
+			}
+		})
+	})
+	t.Run("a lease that was taken without an answer is waited out all the same", func(t *testing.T) {
+		fresh(t, func(ctx context.Context, w *world) {
+			if err := w.keeper("a").change(ctx, toDecode); err != nil {
+				t.Error(err)
+			}
+			b, back := w.keeper("b"), home.StageChange{Engine: "e", Prefill: true}
+			w.storeLoses = 1
+			if err := b.change(ctx, back); !errors.Is(err, errLost) {
+				t.Errorf("error %v", err)
+			}
+			w.storeLoses = 0
+			if err := b.change(ctx, back); err != nil {
+				t.Error(err)
+			}
+			if took := w.arrived[1].at.Sub(w.arrived[0].at); took < 2*rules.Lease {
+				t.Errorf("ordered %v after the other box", took)
+			}
+		})
+	})
+	t.Run("a box that starts again waits its own earlier lease out", func(t *testing.T) {
+		fresh(t, func(ctx context.Context, w *world) {
+			if err := w.keeper("a").change(ctx, toDecode); err != nil {
+				t.Error(err)
+			}
+			begin := time.Now()
+			if err := w.keeper("a").change(ctx, home.StageChange{Engine: "e", Prefill: true}); err != nil {
+				t.Error(err)
+			}
+			if took := time.Since(begin); took < 2*rules.Lease || w.arrived[1].fence <= w.arrived[0].fence {
+				t.Errorf("fences %d, %d after %v", w.arrived[0].fence, w.arrived[1].fence, took)
+			}
+		})
+	})
+}
--- a/model/check.sh
+++ b/model/check.sh
@@ -53,10 +53,10 @@
 	for fault in NO_GENERATION_CHECK NO_VERSION_CHECK NO_READ_BACK NO_GATE; do
 		expect violated config config -D$fault
 	done
-	for fault in NO_WAIT NO_SEND_WINDOW; do
+	for fault in NO_WAIT NO_TERM NO_SEND_WINDOW; do
 		expect violated lease lease -D$fault
 	done
-	expect violated lease lease -DPAUSE_BEFORE_SEND -DHORIZON=5 -DNO_FENCE_CHECK
+	expect violated lease lease -DPAUSE_BEFORE_SEND -DHORIZON=9 -DNO_FENCE_CHECK
 	for fault in FULL_START NO_PART NO_FINDING_OUT WHOLE_STAND_IN; do
 		expect violated quota quota -D$fault
 	done
@@ -67,7 +67,7 @@
 	expect ok repeat repeat -DDEATHS=2
 	expect ok config config
 	expect ok lease lease
-	expect ok lease lease -DPAUSE_BEFORE_SEND -DHORIZON=5
+	expect ok lease lease -DPAUSE_BEFORE_SEND -DHORIZON=9
 	expect ok quota quota
 fi
 exit $failed
--- a/model/lease.pml
+++ b/model/lease.pml
@@ -3,25 +3,27 @@
  *
  * Two boxes give orders to one engine under a lease in the platform. Time is
  * counted in ticks; a box may stand still for any number of them and not know
- * it. The holder stops sending WINDOW ticks after the beginning of its last
- * renewal; a taker waits until the lease's version has stood still for TERM
- * ticks by its own clock. An order may be on its way for FLIGHT ticks at most,
- * after which its connection is cut.
+ * it. A box takes the lease by compare-and-set whenever it wants to give orders, and
+ * stops sending WINDOW ticks after the beginning of its last write. One that takes it
+ * from another waits until the other's window is over, its orders are no longer on
+ * their way, and TERM ticks beside. An order may be on its way for FLIGHT ticks at
+ * most, after which its connection is cut.
  *
  *   fence_grows   an engine that checks fences takes no order with a lower
  *                 fence than one that it has taken;
  *   newest_stands an engine that does not check them ends with the order of
- *                 the newest holder, because a new holder waits until no older
- *                 order can be on its way before it sends its own.
+ *                 the newest holder;
+ *   no_turns      orders of two boxes do not reach the engine within TERM ticks of
+ *                 each other.
  *
  * With PAUSE_BEFORE_SEND a box may stand still between its last look at the
  * clock and the write to the connection. Then only fence_grows is promised: an
- * engine that does not check may take a late order, and the holder has to read
- * back what is in force and order again.
+ * engine that does not check may take a late order, and the count of orders that
+ * each order names keeps it from being carried out.
  *
- * Code: coordination/lease. Deliberate faults: NO_FENCE_CHECK (the engine takes
- * any order), NO_WAIT (a taker does not wait for orders on their way),
- * NO_SEND_WINDOW (the holder trusts that it still holds).
+ * Code: coordination/stages. Deliberate faults: NO_FENCE_CHECK (the engine takes
+ * any order), NO_WAIT (a taker does not wait), NO_TERM (it waits for the other's
+ * orders only), NO_SEND_WINDOW (the holder trusts that it still holds).
  */
 
 #ifdef NO_SEND_WINDOW
@@ -34,7 +36,7 @@
 #define WINDOW 2
 #define FLIGHT 1
 #ifndef HORIZON
-#define HORIZON 8
+#define HORIZON 11
 #endif
 
 byte now = 0;
@@ -47,8 +49,6 @@
 /* Each box. */
 byte my_fence[3];
 byte renewed[3];      /* tick at the beginning of the last renewal */
-byte seen_version[3]; /* last version looked at */
-byte seen_since[3];   /* since when it has stood still, by this box's look */
 byte may_send_from[3];
 bool sent[3];
 
@@ -61,14 +61,24 @@
 byte checking_fence = 0;
 byte plain_fence = 0;
 
+/* What reached the engine last, and when. */
+byte last_holder = 0;
+byte last_at = 0;
+
 inline acquire(b) {
-	holder = b; fence++; version++;
-	my_fence[b] = fence; renewed[b] = now; sent[b] = false;
-#ifdef NO_WAIT
-	may_send_from[b] = now
+	if
+#ifndef NO_WAIT
+	:: holder != 0 && holder != b ->
+#ifdef NO_TERM
+		may_send_from[b] = now + WINDOW + FLIGHT
 #else
-	may_send_from[b] = now + FLIGHT
+		may_send_from[b] = now + WINDOW + FLIGHT + TERM
 #endif
+#endif
+	:: else -> skip
+	fi;
+	holder = b; fence++; version++;
+	my_fence[b] = fence; renewed[b] = now; sent[b] = false
 }
 
 proctype box(byte b) {
@@ -76,10 +86,7 @@
 	:: atomic { now < HORIZON && holder == 0 -> acquire(b) }
 	:: atomic { now < HORIZON && holder == b && my_fence[b] == fence && renewed[b] != now ->
 		version++; renewed[b] = now }
-	:: atomic { now < HORIZON && holder != b && holder != 0 && version != seen_version[b] ->
-		seen_version[b] = version; seen_since[b] = now }
-	:: atomic { now < HORIZON && holder != b && holder != 0 && version == seen_version[b] &&
-		now - seen_since[b] >= TERM && fence < 3 -> acquire(b) }
+	:: atomic { now < HORIZON && holder != b && holder != 0 && fence < 3 -> acquire(b) }
 	/* A box sends by what it believes; it may have lost the lease unaware. */
 #ifdef PAUSE_BEFORE_SEND
 	:: atomic { my_fence[b] > 0 && !sent[b] && going[b] == 0 && now >= may_send_from[b] && in_window(b) ->
@@ -105,6 +112,8 @@
 		fi;
 #ifndef PAUSE_BEFORE_SEND
 		assert(way[b] >= plain_fence); /* newest_stands */
+		assert(last_holder == 0 || last_holder == b || now - last_at >= TERM); /* no_turns */
+		last_holder = b; last_at = now;
 #endif
 		plain_fence = way[b]; way[b] = 0 }
 	:: atomic { way[b] > 0 -> way[b] = 0 } /* cut */
--- /dev/null
+++ b/state/schedule/stage_test.go
@@ -0,0 +1,96 @@
+// Copyright 2026 The Runridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package schedule
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"runridge.example/runridge/state/lifecycle"
+	"runridge.example/runridge/state/stages"
+)
+
+// stageConfig is a group of engines of which the first few prefill.
+func stageConfig(prefills, engines int) Config {
+	cfg := Config{Targets: Targets{FirstToken: time.Second, PerToken: 50 * time.Millisecond}, Growing: true}
+	for i := range engines {
+		cfg.Engines = append(cfg.Engines, EngineSpec{
+			Name: fmt.Sprint("e", i), Zone: "z", Prefill: i < prefills, Decode: i >= prefills, Slots: 16, KVTokens: 40_000,
+			PrefillRate: 30_000, StepBase: time.Millisecond, StepPer: 20 * time.Microsecond,
+		})
+	}
+	return cfg
+}
+
+// asked has a group asked for prompts that are work for 1.2 engines, for some seconds.
+func asked(g *Group, at time.Time, seconds int) time.Time {
+	const prompt, each = 3000, 12
+	for i := range seconds * each {
+		at = at.Add(time.Second / each)
+		id := lifecycle.AttemptID{Request: lifecycle.RequestID{Box: "b", Sequence: uint64(i)}, Number: 1}
+		for _, d := range g.Ask(at, Ask{ID: id, Box: "b", PromptTokens: prompt, OutputTokens: 40}) {
+			if grant, ok := d.(Grant); ok {
+				g.Prefilled(at, grant.Ask.ID, prompt, 0)
+				g.Done(at, Report{ID: grant.Ask.ID, Finished: true})
+			}
+		}
+	}
+	return at
+}
+
+func TestStagesOfAGroup(t *testing.T) {
+	convey.Convey("A group tells its prompt work, and counts an engine by the stage that it changes to", t, func() {
+		start := time.Unix(0, 0)
+		g := New(stageConfig(5, 13), start)
+		now := asked(g, start, 10)
+		engines, load := g.Stages(now)
+		convey.So(load.Mean, convey.ShouldAlmostEqual, 1.2, 0.2)
+		p := stages.Make(engines, load, stages.Config{})
+		convey.So(p.ToDecode, convey.ShouldHaveLength, 2)
+		for _, name := range p.ToDecode {
+			g.Change(now, name, time.Minute)
+		}
+		engines, load = g.Stages(now)
+		convey.So(stages.Make(engines, load, stages.Config{}).None(), convey.ShouldBeTrue)
+		convey.Convey("Meanwhile it gets nothing", func() {
+			for i := range 30 {
+				id := lifecycle.AttemptID{Request: lifecycle.RequestID{Box: "c", Sequence: uint64(i)}, Number: 1}
+				for _, d := range g.Ask(now, Ask{ID: id, Box: "c", PromptTokens: 3000, OutputTokens: 40}) {
+					if grant, ok := d.(Grant); ok {
+						convey.So(p.ToDecode, convey.ShouldNotContain, grant.Plan.Prefill)
+						convey.So(p.ToDecode, convey.ShouldNotContain, grant.Plan.Decode)
+					}
+				}
+			}
+		})
+		convey.Convey("With its new stage it is ready again", func() {
+			cfg := stageConfig(5, 13)
+			for i := range cfg.Engines {
+				e := &cfg.Engines[i]
+				if e.Name == p.ToDecode[0] {
+					e.Prefill, e.Decode = false, true
+				}
+			}
+			g.Configure(now, cfg)
+			engines, _ := g.Stages(now)
+			for _, e := range engines {
+				if e.Name == p.ToDecode[0] {
+					convey.So(e.Ready && !e.Prefill && !e.Changing, convey.ShouldBeTrue)
+				}
+			}
+		})
+		convey.Convey("One that does not change after all is ready again", func() {
+			g.Unchanged(p.ToDecode[1])
+			engines, _ := g.Stages(now)
+			for _, e := range engines {
+				if e.Name == p.ToDecode[1] {
+					convey.So(e.Ready && e.Prefill, convey.ShouldBeTrue)
+				}
+			}
+		})
+	})
+}
--- /dev/null
+++ b/state/stages/stages_test.go
@@ -0,0 +1,114 @@
+// Copyright 2026 The Runridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package stages_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"runridge.example/runridge/state/stages"
+)
+
+// engines are some that prefill and some that decode; every third is faster.
+func engines(prefills, decodes int) []stages.Engine {
+	var out []stages.Engine
+	for i := range prefills + decodes {
+		e := stages.Engine{Name: fmt.Sprintf("e%02d", i), Prefill: i < prefills, Ready: true, TokenNS: 30_000}
+		if i%3 == 2 {
+			e.TokenNS = 23_000
+		}
+		out = append(out, e)
+	}
+	return out
+}
+
+func TestPlan(t *testing.T) {
+	seen := func(mean float64) stages.Load { return stages.Load{Seen: 10 * time.Second, Mean: mean, Peak: 2 * mean} }
+	cases := map[string]struct {
+		engines []stages.Engine
+		load    stages.Load
+		part    float64
+		// change is applied to the engines first.
+		change    func([]stages.Engine)
+		toDecode  []string
+		toPrefill []string
+	}{
+		"too little seen":              {engines: engines(5, 8), load: stages.Load{Seen: time.Second, Mean: 0.1}},
+		"three of five are enough":     {engines: engines(5, 8), load: seen(1.2), toDecode: []string{"e00", "e01"}},
+		"two stay though one would do": {engines: engines(5, 8), load: seen(0.1), toDecode: []string{"e00", "e01", "e03"}},
+		"one stays in a small group":   {engines: engines(2, 3), load: seen(0.1), toDecode: []string{"e00"}},
+		"all are needed":               {engines: engines(5, 8), load: seen(2.0)},
+		"more would do, no need yet":   {engines: engines(3, 10), load: seen(2.5)},
+		"one more is needed":           {engines: engines(3, 10), load: seen(2.8), toPrefill: []string{"e05"}},
+		"one at a time": {engines: engines(3, 10), load: seen(2.8), change: func(e []stages.Engine) {
+			e[4].Prefill, e[4].Changing, e[4].Ready = true, true, false
+		}},
+		"one that left is not ordered": {engines: engines(5, 8), load: seen(1.2), toDecode: []string{"e01", "e03"}, change: func(e []stages.Engine) {
+			e[0].Ready = false
+		}},
+		"a pinned part":                    {engines: engines(5, 8), load: seen(2.0), part: 0.25, toDecode: []string{"e00", "e01"}},
+		"a pinned part that lacks engines": {engines: engines(2, 11), load: seen(0.1), part: 0.25, toPrefill: []string{"e02"}},
+		"never all":                        {engines: engines(1, 1), load: seen(9)},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			convey.Convey(name, t, func() {
+				if c.change != nil {
+					c.change(c.engines)
+				}
+				p := stages.Make(c.engines, c.load, stages.Config{Part: c.part})
+				convey.So(p.ToDecode, convey.ShouldResemble, c.toDecode)
+				convey.So(p.ToPrefill, convey.ShouldResemble, c.toPrefill)
+			})
+		})
+	}
+}
+
+// TestPlanRests holds that under a steady load the plan changes engines once and not
+// again, whatever the load.
+func TestPlanRests(t *testing.T) {
+	for work := 0.05; work < 8; work += 0.05 {
+		e := engines(5, 8)
+		changes := 0
+		for range 30 {
+			p := stages.Make(e, stages.Load{Seen: 10 * time.Second, Mean: work}, stages.Config{})
+			for i := range e {
+				for _, name := range append(p.ToDecode, p.ToPrefill...) {
+					if e[i].Name == name {
+						e[i].Prefill = !e[i].Prefill
+						changes++
+					}
+				}
+			}
+		}
+		if changes > 8 {
+			t.Errorf("with work for %.2f engines %d changes", work, changes)
+		}
+	}
+}
+
+func TestWork(t *testing.T) {
+	convey.Convey("The load is that of whole seconds, forgotten after a while", t, func() {
+		var w stages.Work
+		convey.So(w.Load(time.Second), convey.ShouldResemble, stages.Load{})
+		at := func(tenths int) time.Duration { return time.Duration(tenths) * 100 * time.Millisecond }
+		for i := range 100 {
+			work := 0.1
+			if i >= 50 && i < 80 {
+				work = 0.3
+			}
+			w.Add(at(i), work)
+		}
+		got := w.Load(at(100))
+		convey.So(got.Seen, convey.ShouldEqual, 10*time.Second)
+		convey.So(got.Mean, convey.ShouldAlmostEqual, 1.6, 0.05)
+		convey.So(got.Peak, convey.ShouldAlmostEqual, 3, 0.01)
+		later := w.Load(at(500))
+		convey.So(later.Mean, convey.ShouldEqual, 0)
+		convey.So(later.Seen, convey.ShouldEqual, 50*time.Second)
+	})
+}
--- a/tests/routed/site_test.go
+++ b/tests/routed/site_test.go
@@ -139,6 +139,7 @@
 			Listen: "127.0.0.1:0", ReadyListen: "127.0.0.1:0",
 			RetryRatio: 0.2, RetrySlack: s.slack, RetryWindowSeconds: 10,
 			QuotaOverage: 0.1, QuotaSlack: 1000, QuotaWindowSeconds: 8,
+			Stages: setting.StagesPlanned, LeaseMS: 400, ThawMS: 50,
 		},
 	}, box.Options{Log: logger, Platform: platform.New(s.store.Address()), Names: &names})
 	if err != nil {
@@ -204,7 +205,7 @@
 		"services": []any{
 			map[string]any{"name": plainService, "health_path": "/health", "max_connections": 100},
 			map[string]any{"name": modelService, "health_path": "/health", "max_connections": 300, "engine": map[string]any{
-				"slots": 8, "kv_capacity_tokens": 90000, "token_kv_bytes": 1000, "link_mbps": 100000, "kv_hold_s": 5,
+				"slots": 8, "kv_capacity_tokens": 90000, "token_kv_bytes": 1000, "link_mbps": 100000, "kv_hold_s": 5, "role_switch_s": 0.2,
 			}},
 		},
 		"limits": map[string]any{
