--- a/box/routed.go
+++ b/box/routed.go
@@ -113,6 +113,7 @@
 		Find:    b.findEngine,
 		Known:   func(id string) bool { _, ok := r.discoverer.Directory().Status(id); return ok },
 		Rules:   stageRulesOf(s),
+		Metrics: b.metrics,
 		Log:     b.options.Log,
 	})
 	r.relay = relay.New(relay.Config{
--- a/box/status.go
+++ b/box/status.go
@@ -34,6 +34,7 @@
 	if b.routed != nil {
 		quotas := b.routed.quotas.Status()
 		s.Quotas = &quotas
+		s.Stages = b.homes.Plans()
 	}
 	if !table.PlatformHeard.IsZero() {
 		s.PlatformHeardMS = time.Since(table.PlatformHeard).Milliseconds()
--- a/cmd/runridgectl/accounts.go
+++ b/cmd/runridgectl/accounts.go
@@ -40,18 +40,24 @@
 
 // Execute runs the subcommand.
 func (c *accountsCommand) Execute([]string) error {
+	boxes, failed := statuses(c.Args.Boxes, c.Timeout)
+	return errors.Join(printAccounts(os.Stdout, boxes), failed)
+}
+
+// statuses asks boxes for their status. Those that do not answer are told as an
+// error; the others may still tell what is looked for.
+func statuses(addresses []string, timeout time.Duration) ([]operatorhttp.Status, error) {
 	var boxes []operatorhttp.Status
 	var failed error
-	for _, address := range c.Args.Boxes {
-		s, err := statusOf(address, c.Timeout)
+	for _, address := range addresses {
+		s, err := statusOf(address, timeout)
 		if err != nil {
-			// The others may still tell where an account is.
 			failed = errors.Join(failed, fmt.Errorf("box at %s: %w", address, err))
 			continue
 		}
 		boxes = append(boxes, s)
 	}
-	return errors.Join(printAccounts(os.Stdout, boxes), failed)
+	return boxes, failed
 }
 
 // maxStatus bounds a box's status, in bytes.
--- a/cmd/runridgectl/accounts_test.go
+++ b/cmd/runridgectl/accounts_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/smartystreets/goconvey/convey"
 
+	"runridge.example/runridge/coordination/home"
 	"runridge.example/runridge/coordination/quota"
 	"runridge.example/runridge/transport/operatorhttp"
 )
@@ -30,6 +31,14 @@
 			convey.So(out.String(), convey.ShouldContainSubstring, want)
 		}
 	})
+	convey.Convey("Each group stands with its home and the work behind its plan", t, func() {
+		boxes := []operatorhttp.Status{{Box: "box-1", Stages: []home.StagePlan{{Group: "lm/bog-a", Engines: 13, Prefills: 5, Wanted: 3, MeanWork: 1.214, ObservedMS: 3000}}}}
+		var out bytes.Buffer
+		convey.So(printStages(&out, boxes), convey.ShouldBeNil)
+		for _, want := range []string{"lm/bog-a", "box-1", "13", "1.21", "3s"} {
+			convey.So(out.String(), convey.ShouldContainSubstring, want)
+		}
+	})
 	convey.Convey("An address that is none is named", t, func() {
 		_, err := statusOf("box-1:80", time.Second)
 		convey.So(err.Error(), convey.ShouldContainSubstring, "an IP number and port")
--- a/cmd/runridgectl/main.go
+++ b/cmd/runridgectl/main.go
@@ -34,6 +34,7 @@
 	addExplain(parser)
 	addOutcomes(parser)
 	addAccounts(parser)
+	addStages(parser)
 	os.Exit(command.Run(parser, exitCode))
 }
 
--- a/coordination/home/home.go
+++ b/coordination/home/home.go
@@ -124,6 +124,7 @@
 	leaving  atomic.Bool
 	checked  time.Time
 	planned  time.Time
+	plans    atomic.Pointer[[]StagePlan]
 	known    group.Groups
 	groups   map[string]*running
 	start    time.Time
--- a/coordination/home/stages.go
+++ b/coordination/home/stages.go
@@ -20,6 +20,49 @@
 	changeTimes = 3
 )
 
+// StagePlan is what a home last planned for one of its groups.
+type StagePlan struct {
+	Group   string `json:"group"`
+	Engines int    `json:"engines"`
+	// Prefills are the engines that prefill, or are ordered to, and Wanted how many
+	// should.
+	Prefills int `json:"prefills"`
+	Wanted   int `json:"wanted"`
+	// Changing are those that are away for a change.
+	Changing int `json:"changing"`
+	// MeanWork and PeakWork are the prompt work asked for, in engines: on average
+	// and in the busiest seconds of the last 20.
+	MeanWork float64 `json:"mean_work"`
+	PeakWork float64 `json:"peak_work"`
+	// ObservedMS is for how long the group has been observed here.
+	ObservedMS int64 `json:"observed_ms"`
+}
+
+// Plans are the last plans of this box's groups.
+func (h *Homes) Plans() []StagePlan {
+	if p := h.plans.Load(); p != nil {
+		return *p
+	}
+	return nil
+}
+
+// planOf sums up a plan for operators.
+func planOf(key string, engines []stages.Engine, load stages.Load, p stages.Plan) StagePlan {
+	out := StagePlan{
+		Group: key, Engines: len(engines), Wanted: p.Wanted,
+		MeanWork: load.Mean, PeakWork: load.Peak, ObservedMS: load.Seen.Milliseconds(),
+	}
+	for _, e := range engines {
+		if e.Prefill {
+			out.Prefills++
+		}
+		if e.Changing {
+			out.Changing++
+		}
+	}
+	return out
+}
+
 // planStages plans the stages of the groups that this box is home of.
 func (h *Homes) planStages(now time.Time) {
 	if h.cfg.Stages == nil || h.leaving.Load() {
@@ -29,6 +72,8 @@
 	if !planned {
 		return
 	}
+	var plans []StagePlan
+	defer func() { h.plans.Store(&plans) }()
 	for key, g := range h.groups {
 		s, _ := h.known.Table().Service(g.spec.Service)
 		if s.Engine == nil || s.Engine.SwitchMS <= 0 {
@@ -36,10 +81,12 @@
 		}
 		engines, load := g.Stages(now)
 		p := stages.Make(engines, load, stages.Config{Part: part})
+		plan := planOf(key, engines, load, p)
+		plans = append(plans, plan)
 		if p.None() {
 			continue
 		}
-		h.logPlan(key, engines, load, p)
+		h.logPlan(plan, p)
 		lasts := changeTimes * time.Duration(s.Engine.SwitchMS) * time.Millisecond
 		for _, name := range p.ToDecode {
 			h.change(now, g, StageChange{Group: key, Service: s.Name, Engine: name}, lasts)
@@ -59,24 +106,19 @@
 	g.Change(now, c.Engine, lasts)
 }
 
-func (h *Homes) logPlan(key string, engines []stages.Engine, load stages.Load, p stages.Plan) {
-	prefills := 0
-	for _, e := range engines {
-		if e.Prefill {
-			prefills++
-		}
-	}
+// logPlan writes what changes were planned by.
+func (h *Homes) logPlan(s StagePlan, p stages.Plan) {
 	h.cfg.Log.WithFields(log.Fields{
-		"group":             key,
+		"group":             s.Group,
 		log.FieldGeneration: h.known.Table().Generation,
-		"engines":           len(engines),
-		"prefills":          prefills,
-		"wanted":            p.Wanted,
+		"engines":           s.Engines,
+		"prefills":          s.Prefills,
+		"wanted":            s.Wanted,
 		"to_decode":         len(p.ToDecode),
 		"to_prefill":        len(p.ToPrefill),
-		"mean_work_percent": int(load.Mean * percent),
-		"peak_work_percent": int(load.Peak * percent),
-		"observed_for_ms":   load.Seen.Milliseconds(),
+		"mean_work_percent": int(s.MeanWork * percent),
+		"peak_work_percent": int(s.PeakWork * percent),
+		"observed_for_ms":   s.ObservedMS,
 	}).Info("stages_planned")
 }
 
--- a/coordination/stages/stages.go
+++ b/coordination/stages/stages.go
@@ -89,7 +89,14 @@
 	// Known says whether an engine is remembered.
 	Known func(id string) bool
 	Rules Rules
-	Log   log.Logger
+	// Metrics, if set, counts orders.
+	Metrics Metrics
+	Log     log.Logger
+}
+
+// Metrics counts orders.
+type Metrics interface {
+	StageOrdered(stage, outcome string)
 }
 
 // Rules are what operators set.
@@ -199,17 +206,32 @@
 	fields := log.Fields{log.FieldEngine: c.Engine, "group": c.Group, "prefill": c.Prefill}
 	switch {
 	case err == nil:
+		k.count(c, "ordered")
 		k.cfg.Log.WithFields(fields).Info("stage_ordered")
 		return
 	case errors.Is(err, errUnsure):
+		k.count(c, "unanswered")
 		k.cfg.Log.WithFields(fields).WithError(err).Warn("stage_order_unanswered")
 		return
 	}
+	k.count(c, "dropped")
 	k.cfg.Log.WithFields(fields).WithError(err).Info("stage_order_dropped")
 	// A group that does not hear it leaves the engine out for a while.
 	_ = k.cfg.Homes.Offer(home.Command{From: k.cfg.Self, Group: c.Group, Body: home.StageRefused{Engine: c.Engine}})
 }
 
+// count counts an order.
+func (k *Keeper) count(c home.StageChange, outcome string) {
+	if k.cfg.Metrics == nil {
+		return
+	}
+	stage := "decode"
+	if c.Prefill {
+		stage = "prefill"
+	}
+	k.cfg.Metrics.StageOrdered(stage, outcome)
+}
+
 // Reasons for which no order is given.
 var (
 	errLeft    = errors.New("the engine has left")
--- a/modules/metric/metric.go
+++ b/modules/metric/metric.go
@@ -39,6 +39,7 @@
 	sends      metric.Int64Counter
 	denied     metric.Int64Counter
 	quotas     metric.Int64Counter
+	orders     metric.Int64Counter
 	accounts   labels
 	calls      metric.Int64Counter
 	gap        metric.Float64Histogram
@@ -111,6 +112,9 @@
 	if m.quotas, err = meter.Int64Counter("runridge.quota.decisions", metric.WithUnit("{request}"), metric.WithDescription("Decisions on accounts' quotas, by account and outcome.")); err != nil {
 		return err
 	}
+	if m.orders, err = meter.Int64Counter("runridge.stage.orders", metric.WithUnit("{order}"), metric.WithDescription("Orders to engines to change their stage, by stage and outcome.")); err != nil {
+		return err
+	}
 	if m.calls, err = meter.Int64Counter("runridge.platform.calls", metric.WithUnit("{call}"), metric.WithDescription("Calls to the platform, by call and result.")); err != nil {
 		return err
 	}
@@ -147,6 +151,11 @@
 		attribute.String("account", m.accounts.of(account)), attribute.String("outcome", outcome)))
 }
 
+// StageOrdered counts an order to an engine to change its stage.
+func (m *Metrics) StageOrdered(stage, outcome string) {
+	m.orders.Add(context.Background(), 1, metric.WithAttributes(attribute.String("stage", stage), attribute.String("outcome", outcome)))
+}
+
 // PlatformCalled counts a call to the platform.
 func (m *Metrics) PlatformCalled(call, result string, took time.Duration) {
 	ctx := context.Background()
--- a/modules/timeline/timeline.go
+++ b/modules/timeline/timeline.go
@@ -32,7 +32,7 @@
 	"table_in_force", "table_rejected", "directory_changed", "members_changed", "endpoint_list_failed",
 	"endpoint_list_regained", "endpoint_history_gone", "platform_watch_failed", "home_started", "home_ended",
 	"box_leaving", "own_pause_noticed", "settings_reloaded", "starting",
-	"quota_home_started", "quota_home_ended", "endpoint_watch_changed", "endpoint_entries_in_grace", "engine_ejected",
+	"stages_planned", "stage_ordered", "stage_order_unanswered", "quota_home_started", "quota_home_ended", "endpoint_watch_changed", "endpoint_entries_in_grace", "engine_ejected",
 }
 
 // around is how long before a request's first line a changed belief counts as
--- a/transport/operatorhttp/operatorhttp.go
+++ b/transport/operatorhttp/operatorhttp.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"time"
 
+	"runridge.example/runridge/coordination/home"
 	"runridge.example/runridge/coordination/quota"
 )
 
@@ -49,6 +50,8 @@
 	// Quotas is the box's part in the quotas of accounts; nil without routed
 	// services.
 	Quotas *quota.Status `json:"quotas,omitempty"`
+	// Stages are the plans of the groups that this box is home of.
+	Stages []home.StagePlan `json:"stages,omitempty"`
 }
 
 // Member is another box as this one sees it.
