Stages: engines change back only where decode memory is roomy, and nothing changes with hardly any work

Change: no plan below work for 0.3 engines; back only if decode memory is under half and the work is 1.3 times the prefill engines' time; planned after 2 s.

--- a/coordination/home/stages.go
+++ b/coordination/home/stages.go
@@ -34,6 +34,8 @@
 	// and in the busiest seconds of the last 20.
 	MeanWork float64 `json:"mean_work"`
 	PeakWork float64 `json:"peak_work"`
+	// Fill is how full the memory of the engines that decode is, 0 to 1.
+	Fill float64 `json:"fill"`
 	// ObservedMS is for how long the group has been observed here.
 	ObservedMS int64 `json:"observed_ms"`
 }
@@ -50,7 +52,7 @@
 func planOf(key string, engines []stages.Engine, load stages.Load, p stages.Plan) StagePlan {
 	out := StagePlan{
 		Group: key, Engines: len(engines), Wanted: p.Wanted,
-		MeanWork: load.Mean, PeakWork: load.Peak, ObservedMS: load.Seen.Milliseconds(),
+		MeanWork: load.Mean, PeakWork: load.Peak, Fill: load.Fill, ObservedMS: load.Seen.Milliseconds(),
 	}
 	for _, e := range engines {
 		if e.Prefill {
@@ -118,6 +120,7 @@
 		"to_prefill":        len(p.ToPrefill),
 		"mean_work_percent": int(s.MeanWork * percent),
 		"peak_work_percent": int(s.PeakWork * percent),
+		"fill_percent":      int(s.Fill * percent),
 		"observed_for_ms":   s.ObservedMS,
 	}).Info("stages_planned")
 }
--- a/state/schedule/stage.go
+++ b/state/schedule/stage.go
@@ -52,7 +52,24 @@
 			TokenNS:  g.view.Engines[i].PrefillNS,
 		})
 	}
-	return out, g.work.Load(time.Duration(t))
+	load := g.work.Load(time.Duration(t))
+	load.Fill = g.decodeFill()
+	return out, load
+}
+
+// decodeFill is the part of the decode engines' memory that is promised.
+func (g *Group) decodeFill() float64 {
+	free, all := 0, 0
+	for i := range g.engines {
+		if g.engines[i].spec.Decode {
+			free += g.view.Engines[i].KVFree
+			all += g.view.Engines[i].KVTokens
+		}
+	}
+	if all == 0 {
+		return 0
+	}
+	return 1 - float64(free)/float64(all)
 }
 
 // Change notes that an engine is ordered to change its stage: it gets nothing until
--- a/state/stages/stages.go
+++ b/state/stages/stages.go
@@ -35,6 +35,8 @@
 	// prefilling for each second: over all that is remembered, and in the
 	// busiest seconds of it.
 	Mean, Peak float64
+	// Fill is how full the memory of the engines that decode is, 0 to 1.
+	Fill float64
 }
 
 // Config sets how a group is planned.
@@ -44,9 +46,12 @@
 }
 
 const (
-	// leastSeen is how long a group is observed before it is planned: three
-	// seconds show the rate of prompts to a fifth at ten a second.
-	leastSeen = 3 * time.Second
+	// leastSeen is how long a group is observed before it is planned: two
+	// seconds show the rate of prompts to a fourth at ten a second.
+	leastSeen = 2 * time.Second
+	// leastWork is the work, in engines, below which nothing changes: engines are
+	// not short then, or most boxes ask another home.
+	leastWork = 0.3
 	// busy is the part of its time that a prefill engine is planned to work.
 	busy = 0.85
 	// headroom is how many times the mean work the prefill engines are planned
@@ -58,10 +63,12 @@
 	least      = 1
 	leastLarge = 2
 	large      = 8
-	// overloaded is the part of the prefill engines' time that the mean work has
-	// to take before engines change back: each is away for seconds, and loses
-	// what it decodes.
-	overloaded = 0.9
+	// overloaded is how many times the prefill engines' time the mean work has to
+	// take before engines change back, and roomy how full the memory of the others
+	// may be: each is away for seconds and loses what it decodes, decode engines
+	// read prompts too, and where memory is short fewer of them serve less.
+	overloaded = 1.3
+	roomy      = 0.5
 	// spareToChange is how many more engines than needed prefill before any
 	// changes.
 	spareToChange = 1
@@ -88,14 +95,14 @@
 		changing = changing || e.Changing
 	}
 	p := Plan{Wanted: prefills}
-	if l.Seen < leastSeen || len(engines) <= least {
+	if l.Seen < leastSeen || l.Mean < leastWork || len(engines) <= least {
 		return p
 	}
 	p.Wanted = wanted(len(engines), l, c)
 	switch {
 	case prefills-p.Wanted >= spareToChange:
 		p.ToDecode = slowest(engines, prefills-p.Wanted)
-	case prefills < p.Wanted && !changing && (c.Part > 0 || l.Mean > overloaded*float64(prefills)):
+	case prefills < p.Wanted && !changing && (c.Part > 0 || l.Fill < roomy && l.Mean > overloaded*float64(prefills)):
 		p.ToPrefill = decodesOf(engines)
 	}
 	return p
