Stages: a home asks the engines before it orders any, and counts those that another has ordered

Change: changes are offered for a group; the engines that prefill are asked for their own word first, those that change count as changed and are told to the home, and only as many as are spare are ordered. A pinned part does not depend on the load.

--- a/box/routed.go
+++ b/box/routed.go
@@ -422,8 +422,8 @@
 // Part is the pinned part, and whether stages are planned.
 func (l laterStages) Part() (float64, bool) { return l.b.routed.stages.Part() }
 
-// Offer queues a change.
-func (l laterStages) Offer(c home.StageChange) ring.Outcome { return l.b.routed.stages.Offer(c) }
+// Offer queues the changes of a group.
+func (l laterStages) Offer(c home.StageChanges) ring.Outcome { return l.b.routed.stages.Offer(c) }
 
 // stages are what carries out changes of stages; nil without routed services.
 func (b *Box) stages() home.Stages {
--- a/coordination/home/home.go
+++ b/coordination/home/home.go
@@ -58,11 +58,15 @@
 	HomeOf(group string) string
 }
 
-// StageChange is a planned change of one engine's stage.
-type StageChange struct {
-	Group, Service, Engine string
-	// Prefill is what it changes to.
-	Prefill bool
+// StageChanges are planned changes of the stages of a group's engines.
+type StageChanges struct {
+	Group string
+	// Prefills are the engines that prefill as far as the home knows, and Wanted is
+	// how many should. Engines that an earlier home ordered may be among them.
+	Prefills []string
+	Wanted   int
+	// ToDecode and ToPrefill are the engines to order, the best first.
+	ToDecode, ToPrefill []string
 }
 
 // Stages carries out changes of stages. Calls must not block.
@@ -70,7 +74,7 @@
 	// Part is the pinned part of the engines that prefill, 0 if none is, and
 	// whether stages are planned at all.
 	Part() (part float64, planned bool)
-	Offer(c StageChange) ring.Outcome
+	Offer(c StageChanges) ring.Outcome
 }
 
 // StageRefused tells a group that an engine does not change after all.
@@ -78,6 +82,11 @@
 	Engine string
 }
 
+// StageChanging tells a group that an engine changes by an order of an earlier home.
+type StageChanging struct {
+	Engine string
+}
+
 // Config configures the duty.
 type Config struct {
 	// Self is this box's name.
@@ -252,6 +261,8 @@
 		g.Report(body)
 	case StageRefused:
 		g.Unchanged(body.Engine)
+	case StageChanging:
+		g.Change(now, body.Engine, h.changeTime(g))
 	case Evicted:
 		h.evicted(g, body)
 	}
--- a/coordination/home/stages.go
+++ b/coordination/home/stages.go
@@ -4,6 +4,7 @@
 package home
 
 import (
+	"slices"
 	"time"
 
 	"runridge.example/runridge/modules/log"
@@ -89,23 +90,34 @@
 			continue
 		}
 		h.logPlan(plan, p)
-		lasts := changeTimes * time.Duration(s.Engine.SwitchMS) * time.Millisecond
-		for _, name := range p.ToDecode {
-			h.change(now, g, StageChange{Group: key, Service: s.Name, Engine: name}, lasts)
-		}
-		for _, name := range p.ToPrefill {
-			h.change(now, g, StageChange{Group: key, Service: s.Name, Engine: name, Prefill: true}, lasts)
-		}
+		h.change(now, key, g, engines, p)
+	}
+}
+
+// changeTime is for how long an engine that changes is left out at most.
+func (h *Homes) changeTime(g *running) time.Duration {
+	s, _ := h.known.Table().Service(g.spec.Service)
+	if s.Engine == nil {
+		return 0
 	}
+	return changeTimes * time.Duration(s.Engine.SwitchMS) * time.Millisecond
 }
 
-// change has an engine ordered to change, and leaves it out meanwhile.
-func (h *Homes) change(now time.Time, g *running, c StageChange, lasts time.Duration) {
+// change has engines ordered to change, and leaves them out meanwhile.
+func (h *Homes) change(now time.Time, key string, g *running, engines []stages.Engine, p stages.Plan) {
+	c := StageChanges{Group: key, Wanted: p.Wanted, ToDecode: p.ToDecode, ToPrefill: p.ToPrefill}
+	for _, e := range engines {
+		if e.Prefill && !e.Changing {
+			c.Prefills = append(c.Prefills, e.Name)
+		}
+	}
 	if h.cfg.Stages.Offer(c) == ring.Full {
 		// It is planned again in a second.
 		return
 	}
-	g.Change(now, c.Engine, lasts)
+	for _, name := range slices.Concat(p.ToDecode, p.ToPrefill) {
+		g.Change(now, name, h.changeTime(g))
+	}
 }
 
 // logPlan writes what changes were planned by.
--- a/coordination/stages/stages.go
+++ b/coordination/stages/stages.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -111,14 +112,16 @@
 }
 
 const (
-	// queueSize bounds the changes that wait: all engines of some groups.
-	queueSize = 256
+	// queueSize bounds the groups whose changes wait: more than one box is home of.
+	queueSize = 64
 	// windowShare is the part of a lease, from when its write was sent, in which
 	// orders are sent: the rest is for their way.
 	windowShare = 0.6
 	callTimeout = time.Second
-	// maxOrders is how many engines are ordered at a time.
-	maxOrders = 16
+	// maxGroups is how many groups are ordered at a time, and maxOrders how many
+	// engines of one.
+	maxGroups = 8
+	maxOrders = 8
 	// unsureFor is how long an engine gets no further order after one whose answer
 	// was lost: it may be carried out some twelve seconds later.
 	unsureFor = 20 * time.Second
@@ -129,7 +132,7 @@
 // Keeper is the duty.
 type Keeper struct {
 	cfg     Config
-	changes *ring.Ring[home.StageChange]
+	changes *ring.Ring[home.StageChanges]
 
 	mutex sync.Mutex
 	rules Rules
@@ -147,7 +150,7 @@
 	return &Keeper{
 		cfg:     cfg,
 		rules:   cfg.Rules,
-		changes: ring.New[home.StageChange](queueSize),
+		changes: ring.New[home.StageChanges](queueSize),
 		held:    make(map[string]held),
 		unsure:  make(map[string]time.Time),
 
@@ -175,22 +178,22 @@
 	return r.Part, r.Planned && r.Lease > 0
 }
 
-// Offer queues a change.
-func (k *Keeper) Offer(c home.StageChange) ring.Outcome { return k.changes.Offer(c) }
+// Offer queues the changes of a group.
+func (k *Keeper) Offer(c home.StageChanges) ring.Outcome { return k.changes.Offer(c) }
 
 // Run carries changes out until the context ends, some at a time: a lease that has
 // to be waited out must not hold up all others.
 func (k *Keeper) Run(ctx context.Context) error {
 	tidy := time.NewTicker(tidyEvery)
 	defer tidy.Stop()
-	var orders errgroup.Group
-	orders.SetLimit(maxOrders)
+	var groups errgroup.Group
+	groups.SetLimit(maxGroups)
 	for {
 		select {
 		case <-ctx.Done():
-			return orders.Wait()
+			return groups.Wait()
 		case c := <-k.changes.C():
-			orders.Go(func() error {
+			groups.Go(func() error {
 				k.carryOut(ctx, c)
 				return nil
 			})
@@ -200,33 +203,95 @@
 	}
 }
 
-// carryOut gives one order, and tells the group if it does not come about.
-func (k *Keeper) carryOut(ctx context.Context, c home.StageChange) {
+// change is one engine's.
+type change struct {
+	group, engine string
+	prefill       bool
+}
+
+// carryOut orders the changes of a group. Engines that another home has ordered
+// meanwhile count: they are told to the home, and as many fewer are ordered.
+func (k *Keeper) carryOut(ctx context.Context, c home.StageChanges) {
+	toDecode := k.spare(ctx, c)
+	var orders errgroup.Group
+	orders.SetLimit(maxOrders)
+	for _, engine := range toDecode {
+		orders.Go(func() error { k.one(ctx, change{group: c.Group, engine: engine}); return nil })
+	}
+	for _, engine := range c.ToPrefill {
+		orders.Go(func() error { k.one(ctx, change{group: c.Group, engine: engine, prefill: true}); return nil })
+	}
+	_ = orders.Wait()
+}
+
+// spare lists the engines that may be ordered to decode, by the word of all that
+// prefill. One that does not answer counts as none.
+func (k *Keeper) spare(ctx context.Context, c home.StageChanges) []string {
+	if len(c.ToDecode) == 0 {
+		return nil
+	}
+	var prefilling []string
+	for _, id := range c.Prefills {
+		e, ok := k.cfg.Find(id)
+		if !ok {
+			continue
+		}
+		call, cancel := context.WithTimeout(ctx, callTimeout)
+		report, err := k.cfg.Engines.Report(call, e)
+		cancel()
+		switch {
+		case err != nil:
+			k.cfg.Log.WithFields(log.Fields{log.FieldEngine: id, "group": c.Group}).WithError(err).Info("stage_report_failed")
+		case report.Changing || !report.Prefill:
+			_ = k.cfg.Homes.Offer(home.Command{From: k.cfg.Self, Group: c.Group, Body: home.StageChanging{Engine: id}})
+		default:
+			prefilling = append(prefilling, id)
+		}
+	}
+	var out []string
+	for _, engine := range c.ToDecode {
+		switch {
+		case !slices.Contains(prefilling, engine):
+		case len(out) < len(prefilling)-c.Wanted:
+			out = append(out, engine)
+		default:
+			k.refused(change{group: c.Group, engine: engine}, errNotSpare)
+		}
+	}
+	return out
+}
+
+// one gives one order, and tells the group if it does not come about.
+func (k *Keeper) one(ctx context.Context, c change) {
 	err := k.change(ctx, c)
-	fields := log.Fields{log.FieldEngine: c.Engine, "group": c.Group, "prefill": c.Prefill}
+	fields := log.Fields{log.FieldEngine: c.engine, "group": c.group, "prefill": c.prefill}
 	switch {
 	case err == nil:
 		k.count(c, "ordered")
 		k.cfg.Log.WithFields(fields).Info("stage_ordered")
-		return
 	case errors.Is(err, errUnsure):
 		k.count(c, "unanswered")
 		k.cfg.Log.WithFields(fields).WithError(err).Warn("stage_order_unanswered")
-		return
+	default:
+		k.refused(c, err)
 	}
+}
+
+// refused tells the group that an engine is not ordered. A group that does not hear
+// it leaves the engine out for a while.
+func (k *Keeper) refused(c change, err error) {
 	k.count(c, "dropped")
-	k.cfg.Log.WithFields(fields).WithError(err).Info("stage_order_dropped")
-	// A group that does not hear it leaves the engine out for a while.
-	_ = k.cfg.Homes.Offer(home.Command{From: k.cfg.Self, Group: c.Group, Body: home.StageRefused{Engine: c.Engine}})
+	k.cfg.Log.WithFields(log.Fields{log.FieldEngine: c.engine, "group": c.group, "prefill": c.prefill}).WithError(err).Info("stage_order_dropped")
+	_ = k.cfg.Homes.Offer(home.Command{From: k.cfg.Self, Group: c.group, Body: home.StageRefused{Engine: c.engine}})
 }
 
 // count counts an order.
-func (k *Keeper) count(c home.StageChange, outcome string) {
+func (k *Keeper) count(c change, outcome string) {
 	if k.cfg.Metrics == nil {
 		return
 	}
 	stage := "decode"
-	if c.Prefill {
+	if c.prefill {
 		stage = "prefill"
 	}
 	k.cfg.Metrics.StageOrdered(stage, outcome)
@@ -234,15 +299,16 @@
 
 // Reasons for which no order is given.
 var (
-	errLeft    = errors.New("the engine has left")
-	errBusy    = errors.New("the engine is changing, or an order to it is unanswered")
-	errTooLate = errors.New("the lease has run out")
-	errUnsure  = errors.New("the order may be carried out")
+	errLeft     = errors.New("the engine has left")
+	errBusy     = errors.New("the engine is changing, or an order to it is unanswered")
+	errTooLate  = errors.New("the lease has run out")
+	errNotSpare = errors.New("other engines of the group change already")
+	errUnsure   = errors.New("the order may be carried out")
 )
 
 // change gives one order.
-func (k *Keeper) change(ctx context.Context, c home.StageChange) error {
-	e, ok := k.cfg.Find(c.Engine)
+func (k *Keeper) change(ctx context.Context, c change) error {
+	e, ok := k.cfg.Find(c.engine)
 	if !ok {
 		return errLeft
 	}
@@ -258,14 +324,14 @@
 		return err
 	case report.Changing:
 		return errBusy
-	case report.Prefill == c.Prefill:
+	case report.Prefill == c.prefill:
 		return nil
 	}
 	held, err := k.acquire(ctx, e.ID)
 	if err != nil {
 		return err
 	}
-	return k.order(ctx, e, held, Order{Prefill: c.Prefill, Holder: k.cfg.Self, Fence: held.revision, Orders: report.Orders})
+	return k.order(ctx, e, held, Order{Prefill: c.prefill, Holder: k.cfg.Self, Fence: held.revision, Orders: report.Orders})
 }
 
 // order sends an order within the lease's window.
--- a/state/stages/stages.go
+++ b/state/stages/stages.go
@@ -95,7 +95,8 @@
 		changing = changing || e.Changing
 	}
 	p := Plan{Wanted: prefills}
-	if l.Seen < leastSeen || l.Mean < leastWork || len(engines) <= least {
+	idle := c.Part == 0 && l.Mean < leastWork
+	if l.Seen < leastSeen || idle || len(engines) <= least {
 		return p
 	}
 	p.Wanted = wanted(len(engines), l, c)
