--- a/box/routed.go
+++ b/box/routed.go
@@ -16,7 +16,6 @@
 	"runridge.example/runridge/coordination/discover"
 	"runridge.example/runridge/coordination/dispatch"
 	"runridge.example/runridge/coordination/follow"
-	"runridge.example/runridge/coordination/home"
 	members "runridge.example/runridge/coordination/member"
 	"runridge.example/runridge/coordination/quota"
 	"runridge.example/runridge/coordination/registry"
@@ -28,7 +27,6 @@
 	"runridge.example/runridge/protocol/relayapi"
 	"runridge.example/runridge/state/directory"
 	"runridge.example/runridge/state/lifecycle"
-	limits "runridge.example/runridge/state/quota"
 	"runridge.example/runridge/state/retry"
 	"runridge.example/runridge/state/schedule"
 	"runridge.example/runridge/state/table"
@@ -156,23 +154,6 @@
 	return max(len(s.All), len(s.Listed))
 }
 
-// fleet is how many boxes this one sees of all that there may be; it cannot tell
-// before the platform's list was read.
-func (b *Box) fleet() quota.Fleet {
-	s := b.members.Snapshot()
-	if s.Listed == nil {
-		return quota.Fleet{}
-	}
-	return quota.Fleet{Seen: b.router.Live(), All: max(len(s.All), len(s.Listed))}
-}
-
-// pauseRouted ends what this box may have counted for others while it stood still.
-func (b *Box) pauseRouted() {
-	if b.routed != nil {
-		b.routed.quotas.Paused()
-	}
-}
-
 // connectionShare is this box's part of the connections to one endpoint.
 func (b *Box) connectionShare(service string) int {
 	s, ok := b.follower.Table().Service(service)
@@ -362,34 +343,6 @@
 	}
 }
 
-// quotaBoundOf is what the settings allow beyond a quota.
-func quotaBoundOf(s setting.Relay) limits.Bound {
-	return limits.Bound{
-		Window:  time.Duration(s.QuotaWindowSeconds * float64(time.Second)),
-		Overage: s.QuotaOverage,
-		Slack:   s.QuotaSlack,
-	}
-}
-
-// stageRulesOf is what the settings say of the stages of engines.
-func stageRulesOf(s setting.Relay) stages.Rules {
-	return stages.Rules{
-		Planned: s.Stages == setting.StagesPlanned,
-		Part:    s.PrefillPart,
-		Lease:   time.Duration(s.LeaseMS * float64(time.Millisecond)),
-		Thaw:    time.Duration(s.ThawMS * float64(time.Millisecond)),
-	}
-}
-
-// findEngine gives an engine that may get orders.
-func (b *Box) findEngine(id string) (stages.Engine, bool) {
-	w, ok := b.routed.discoverer.Directory().Status(id)
-	if !ok || !w.Usable() {
-		return stages.Engine{}, false
-	}
-	return stages.Engine{ID: w.ID, Service: w.Service, Address: w.Address}, true
-}
-
 // stopTaking ends the listener and the connections on which no request is
 // under way; what is under way goes on to its end.
 func (b *Box) stopTaking() {
@@ -414,21 +367,3 @@
 		b.routed.server.Leave()
 	}
 }
-
-// laterStages reaches the part that orders changes of stages, which is made after
-// the homes.
-type laterStages struct{ b *Box }
-
-// Part is the pinned part, and whether stages are planned.
-func (l laterStages) Part() (float64, bool) { return l.b.routed.stages.Part() }
-
-// Offer queues the changes of a group.
-func (l laterStages) Offer(c home.StageChanges) ring.Outcome { return l.b.routed.stages.Offer(c) }
-
-// stages are what carries out changes of stages; nil without routed services.
-func (b *Box) stages() home.Stages {
-	if b.routed == nil {
-		return nil
-	}
-	return laterStages{b}
-}
--- a/tests/mutants/accounts.go
+++ b/tests/mutants/accounts.go
@@ -8,32 +8,37 @@
 	quotaHomeFile    = "coordination/quota/home.go"
 	quotaFile        = "state/quota/quota.go"
 	quotaTests       = "./coordination/quota"
-	stagesFile       = "coordination/stages/stages.go"
+	leaseFile        = "coordination/stages/lease.go"
+	orderFile        = "coordination/stages/order.go"
 	stagesTests      = "./coordination/stages"
 )
 
 // stageMutants are deliberate faults in the orders to engines.
 var stageMutants = []mutant{
 	{
-		name: "lease_not_waited_out", file: stagesFile, pkg: stagesTests, args: only("TestOrders"),
+		name: "lease_not_waited_out", file: leaseFile, pkg: stagesTests, args: only("TestOrders"),
 		old: "wait := 2*r.Lease + r.Thaw", fault: "wait := 0 * (2*r.Lease + r.Thaw)",
 	},
 	{
-		name: "own_lease_taken_for_waited_out", file: stagesFile, pkg: stagesTests, args: only("TestOrders"),
+		name: "own_lease_taken_for_waited_out", file: leaseFile, pkg: stagesTests, args: only("TestOrders"),
 		old: "	if found.Revision == 0 {", fault: "	if found.Revision == 0 || found.Holder == k.cfg.Self {",
 	},
 	{
-		name: "order_after_the_lease", file: stagesFile, pkg: stagesTests, args: only("TestOrders"),
+		name: "order_after_the_lease", file: orderFile, pkg: stagesTests, args: only("TestOrders"),
 		old: "if !time.Now().Before(until) {", fault: "if time.Now().IsZero() {",
 	},
 	{
-		name: "order_again_after_a_lost_answer", file: stagesFile, pkg: stagesTests, args: only("TestOrders"),
+		name: "order_again_after_a_lost_answer", file: orderFile, pkg: stagesTests, args: only("TestOrders"),
 		old: "k.unsure[e.ID] = time.Now().Add(unsureFor)", fault: "k.unsure[e.ID] = time.Now().Add(0 * unsureFor)",
 	},
 	{
-		name: "two_orders_at_a_time", file: stagesFile, pkg: stagesTests, args: manyCases("TestOracleHolders"),
+		name: "two_orders_at_a_time", file: orderFile, pkg: stagesTests, args: manyCases("TestOracleHolders"),
 		old: "if k.ordering[engine] || ", fault: "if ",
 	},
+	{
+		name: "orders_of_an_earlier_home_forgotten", file: orderFile, pkg: stagesTests, args: only("TestEnginesOfAnEarlierHome"),
+		old: "case report.Changing || !report.Prefill:", fault: "case report.Changing && !report.Prefill:",
+	},
 	{
 		name: "stage_of_an_engine_that_changes", file: "state/schedule/stage.go", pkg: "./state/schedule", args: only("TestStagesOfAGroup"),
 		old: "e.spec.Prefill != changing,", fault: "e.spec.Prefill,",
