--- a/tests/mutants/main.go
+++ b/tests/mutants/main.go
@@ -11,9 +11,13 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"time"
+
+	"golang.org/x/sync/errgroup"
 )
 
 // mutant is one deliberate fault.
@@ -27,6 +31,9 @@
 }
 
 const (
+	// coresEach is how many cores one try has: building takes two, and most tests
+	// wait for states more than they work.
+	coresEach = 2
 	// testTimeout bounds one run of the go tool, and testBound, shorter, the test
 	// program in it: one that a fault makes spin ends itself and is not left
 	// behind by the go tool's end.
@@ -46,23 +53,31 @@
 }
 
 func run(root string) error {
-	survivors := 0
 	chosen := slices.Concat(mutants, routedMutants, accountMutants, stageMutants, sharedMutants)
 	if len(os.Args) > 1 {
 		// Those whose file lies under a path, for work on that part.
 		chosen = slices.DeleteFunc(chosen, func(m mutant) bool { return !strings.HasPrefix(m.file, os.Args[1]) })
 	}
+	var tries errgroup.Group
+	tries.SetLimit(max(runtime.NumCPU()/coresEach, 1))
+	var survivors atomic.Int64
 	for _, m := range chosen {
-		found, err := try(root, m)
-		if err != nil {
-			return fmt.Errorf("mutant %s: %w", m.name, err)
-		}
-		fmt.Printf("mutants name=%s package=%s found=%v\n", m.name, m.pkg, found)
-		if !found {
-			survivors++
-		}
+		tries.Go(func() error {
+			found, err := try(root, m)
+			if err != nil {
+				return fmt.Errorf("mutant %s: %w", m.name, err)
+			}
+			fmt.Printf("mutants name=%s package=%s found=%v\n", m.name, m.pkg, found)
+			if !found {
+				survivors.Add(1)
+			}
+			return nil
+		})
+	}
+	if err := tries.Wait(); err != nil {
+		return err
 	}
-	if survivors > 0 {
+	if survivors := survivors.Load(); survivors > 0 {
 		return fmt.Errorf("%d of %d deliberate faults were not found", survivors, len(chosen))
 	}
 	fmt.Printf("mutants all %d deliberate faults were found\n", len(chosen))
