--- a/coordination/quota/ways_test.go
+++ b/coordination/quota/ways_test.go
@@ -154,6 +154,8 @@
 				})
 				time.Sleep(time.Second)
 				cancel()
+				mutex.Lock()
+				defer mutex.Unlock()
 				owed := min(asked, limit.Rate*lasts.Seconds())
 				t.Logf("%s at %.2f of its quota: shares %.3f, groups %.3f, home %.3f", name, times, got["shares"]/owed, got["groups"]/owed, got["home"]/owed)
 				if got["home"] < 0.97*owed || got["home"] < got["groups"] || got["home"] < got["shares"] {
