--- a/box/merge.go
+++ b/box/merge.go
@@ -21,8 +21,6 @@
 	mutex   sync.Mutex
 	inForce table.Table
 	groups  group.Groups
-	// revision is that of the directory in the groups.
-	revision uint64
 }
 
 // setTable puts a new table into force.
@@ -36,7 +34,6 @@
 	}
 	d := b.latest()
 	b.merging.groups = group.New(t, d)
-	b.merging.revision = d.Revision()
 	b.gatherNames(d)
 	b.schedule()
 }
@@ -83,12 +80,11 @@
 func (b *Box) merge() {
 	b.merging.mutex.Lock()
 	defer b.merging.mutex.Unlock()
-	d, before := b.latest(), b.merging.groups.Layout()
-	b.merging.groups = b.merging.groups.With(d)
-	ids, remembered := d.ChangedSince(b.merging.revision)
-	b.merging.revision = d.Revision()
+	d, before := b.latest(), b.merging.groups
+	b.merging.groups = before.With(d)
+	ids, remembered := d.ChangedSince(before.Revision())
 	names := b.names.Load()
-	if !remembered || before != b.merging.groups.Layout() || names.Len() > namesKept*(d.Len()+leastNames) {
+	if !remembered || before.Layout() != b.merging.groups.Layout() || names.Len() > namesKept*(d.Len()+leastNames) {
 		b.gatherNames(d)
 	} else {
 		names.Add(ids...)
--- a/cmd/runridgectl/accounts.go
+++ b/cmd/runridgectl/accounts.go
@@ -27,6 +27,11 @@
 
 // accountsCommand shows what the boxes know of the accounts' quotas.
 type accountsCommand struct {
+	boxesOptions
+}
+
+// boxesOptions say which boxes are asked for their status.
+type boxesOptions struct {
 	Timeout time.Duration `long:"timeout" default:"5s" description:"bound on the answer of each box"`
 	Args    struct {
 		Boxes []string `positional-arg-name:"IP:PORT" required:"1" description:"operator addresses of the boxes"`
@@ -40,17 +45,17 @@
 
 // Execute runs the subcommand.
 func (c *accountsCommand) Execute([]string) error {
-	boxes, failed := statuses(c.Args.Boxes, c.Timeout)
+	boxes, failed := c.statuses()
 	return errors.Join(printAccounts(os.Stdout, boxes), failed)
 }
 
 // statuses asks boxes for their status. Those that do not answer are told as an
 // error; the others may still tell what is looked for.
-func statuses(addresses []string, timeout time.Duration) ([]operatorhttp.Status, error) {
+func (o boxesOptions) statuses() ([]operatorhttp.Status, error) {
 	var boxes []operatorhttp.Status
 	var failed error
-	for _, address := range addresses {
-		s, err := statusOf(address, timeout)
+	for _, address := range o.Args.Boxes {
+		s, err := statusOf(address, o.Timeout)
 		if err != nil {
 			failed = errors.Join(failed, fmt.Errorf("box at %s: %w", address, err))
 			continue
--- a/cmd/runridgectl/stages.go
+++ b/cmd/runridgectl/stages.go
@@ -19,10 +19,7 @@
 
 // stagesCommand shows how the stages of engines are planned.
 type stagesCommand struct {
-	Timeout time.Duration `long:"timeout" default:"5s" description:"bound on the answer of each box"`
-	Args    struct {
-		Boxes []string `positional-arg-name:"IP:PORT" required:"1" description:"operator addresses of the boxes"`
-	} `positional-args:"true"`
+	boxesOptions
 }
 
 func addStages(p *flags.Parser) {
@@ -32,7 +29,7 @@
 
 // Execute runs the subcommand.
 func (c *stagesCommand) Execute([]string) error {
-	boxes, failed := statuses(c.Args.Boxes, c.Timeout)
+	boxes, failed := c.statuses()
 	return errors.Join(printStages(os.Stdout, boxes), failed)
 }
 
--- a/coordination/quota/admit.go
+++ b/coordination/quota/admit.go
@@ -56,16 +56,13 @@
 
 // Admit takes a request's cost from the purse, or asks the account's home.
 func (k *Keeper) Admit(ctx context.Context, u Use) Verdict {
-	begun, life, lacks := k.spend(u)
+	begun, lacks, more := k.spend(u)
 	if lacks <= 0 {
 		return Verdict{Outcome: Admitted, Decision: quota.Decision{Admitted: true}}
 	}
-	k.mutex.Lock()
-	more := k.purses[u.Account].Ahead(begun, life)
-	k.mutex.Unlock()
 	v := k.askHomes(ctx, u, quota.Need{Cost: lacks, More: more, Wait: u.Wait, Patience: u.Patience})
 	if v.Outcome == Admitted {
-		k.lend(u.Account, begun, v.More, life)
+		k.lend(u.Account, begun, v.More)
 		return v
 	}
 	k.putBack(u.Account, u.Cost-lacks)
@@ -81,23 +78,23 @@
 
 // GiveBack returns the cost of a request that reached no endpoint.
 func (k *Keeper) GiveBack(account string, cost float64) {
-	k.mutex.Lock()
-	life := k.cfg.Bound.LoanLife()
-	k.mutex.Unlock()
-	k.lend(account, k.uptime(), cost, life)
+	k.lend(account, k.uptime(), cost)
 }
 
-// spend takes what the purse has of a cost, and returns what it lacks.
-func (k *Keeper) spend(u Use) (now, life time.Duration, lacks float64) {
+// spend takes what the purse has of a cost, and returns what it lacks and how much
+// to ask for ahead of need.
+func (k *Keeper) spend(u Use) (now time.Duration, lacks, more float64) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	now, life = k.uptime(), k.cfg.Bound.LoanLife()
+	now = k.uptime()
+	life := k.cfg.Bound.LoanLife()
 	if len(k.purses) >= maxPurses {
 		k.dropIdle(now, life)
 	}
 	p, lacks := k.purses[u.Account].WithSpent(now, u.Cost)
-	k.purses[u.Account] = p.WithUse(now, u.Cost, life)
-	return now, life, lacks
+	p = p.WithUse(now, u.Cost, life)
+	k.purses[u.Account] = p
+	return now, lacks, p.Ahead(now, life)
 }
 
 // dropIdle drops the purses that nobody has used for a while. The mutex is held.
@@ -110,10 +107,10 @@
 }
 
 // lend puts units into the purse of an account, as of when they were asked for.
-func (k *Keeper) lend(account string, asked time.Duration, units float64, life time.Duration) {
+func (k *Keeper) lend(account string, asked time.Duration, units float64) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	k.purses[account] = k.purses[account].WithLent(asked, units, life)
+	k.purses[account] = k.purses[account].WithLent(asked, units, k.cfg.Bound.LoanLife())
 }
 
 // askHomes asks the account's home, and the second in rank when it is silent.
--- a/coordination/quota/quota.go
+++ b/coordination/quota/quota.go
@@ -9,6 +9,7 @@
 package quota
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -197,12 +198,7 @@
 // rank is this box's place in the rank of an account; -1 is none. The mutex is
 // held.
 func (k *Keeper) rank(account string) int {
-	for i, box := range k.cfg.Ranked(account) {
-		if box == k.cfg.Self {
-			return i
-		}
-	}
-	return -1
+	return slices.Index(k.cfg.Ranked(account), k.cfg.Self)
 }
 
 // Status is what operators are told of a box's part in the quotas.
--- a/state/group/group.go
+++ b/state/group/group.go
@@ -9,7 +9,6 @@
 import (
 	"maps"
 	"slices"
-	"strings"
 
 	"github.com/benbjohnson/immutable"
 
@@ -20,7 +19,10 @@
 // Groups are the groups of a table with the endpoints of a directory. It is an
 // immutable value; the zero value has none.
 type Groups struct {
-	table    table.Table
+	// source is the table that they were made from, and table the same with the
+	// targets of its routed services.
+	source, table table.Table
+	// revision is that of the directory.
 	revision uint64
 	layout   *Layout
 	// routed are the services whose endpoints stand in the directory.
@@ -74,6 +76,7 @@
 	// Without endpoints: those of routed services stand in the services.
 	merged := directory.Merge(t, directory.Directory{})
 	g := Groups{
+		source:   t,
 		table:    merged,
 		revision: d.Revision(),
 		routed:   make(map[string]service),
@@ -99,6 +102,9 @@
 // targets, and their endpoints are not in it.
 func (g Groups) Table() table.Table { return g.table }
 
+// Revision is that of the directory whose endpoints are in the groups.
+func (g Groups) Revision() uint64 { return g.revision }
+
 // Layout is which groups there are.
 func (g Groups) Layout() *Layout { return g.layout }
 
@@ -108,17 +114,7 @@
 	if found, ok := g.fixed[key]; ok {
 		return found, true
 	}
-	name, _, _ := strings.Cut(key, "/")
-	s, ok := g.routed[name]
-	if !ok {
-		// The service's own name may have a slash.
-		return g.search(key)
-	}
-	return s.groups.Get(key)
-}
-
-// search looks for a group among all services.
-func (g Groups) search(key string) (*table.Group, bool) {
+	// A service's own name may have a slash, so the key does not tell which it is.
 	for _, s := range g.routed {
 		if found, ok := s.groups.Get(key); ok {
 			return found, true
@@ -132,7 +128,7 @@
 func (g Groups) With(d directory.Directory) Groups {
 	ids, remembered := d.ChangedSince(g.revision)
 	if !remembered {
-		return New(g.original(), d)
+		return New(g.source, d)
 	}
 	g.revision = d.Revision()
 	if len(ids) == 0 {
@@ -154,18 +150,6 @@
 	return g
 }
 
-// original is the table that the groups were made from.
-func (g Groups) original() table.Table {
-	t := g.table
-	t.Services = slices.Clone(t.Services)
-	for i, s := range t.Services {
-		if _, routed := g.routed[s.Name]; routed {
-			t.Services[i].Kind = table.KindRouted
-		}
-	}
-	return t
-}
-
 // newLayout lists the groups in an order that depends on the table alone.
 func (g Groups) newLayout() *Layout {
 	l := &Layout{places: make(map[string][]Place)}
--- a/state/group/group_test.go
+++ b/state/group/group_test.go
@@ -29,6 +29,7 @@
 		Generation: 1,
 		Services: []table.Service{
 			{Name: "lm", Kind: table.KindRouted, Engine: &table.EngineLimits{Slots: 16, KVTokens: 43654}},
+			{Name: "a", Kind: table.KindRouted},
 			{Name: "a/b", Kind: table.KindRouted},
 			{Name: "own", Kind: table.KindPlain, Route: "/own"},
 		},
--- a/transport/upstream/orders.go
+++ b/transport/upstream/orders.go
@@ -45,7 +45,7 @@
 		return err
 	}
 	a, err := c.control(ctx, e, http.MethodPost, c.cfg.Names.Orders.Path, body)
-	if adapter.RanOf(err) == lifecycle.NotRun && err != nil {
+	if adapter.RanOf(err) == lifecycle.NotRun {
 		return fmt.Errorf("%w: %w", stages.ErrRefused, err)
 	}
 	if err != nil {
