One budget of bytes held for callers; a slow reader keeps no endpoint

Cause: the limit of a body was all that bounded what a box held for callers who read slowly or whose uploads stop, times 3,000 connections whatever the memory; an upload's room was made as announced; a body was copied to be sent; each event of a stream had 5 s, so that a caller who took a byte now and then kept slot, grant and connection; and an endpoint that cut an unread answer off was taken for one that had ended: the request was run again.

Change: coordination/held, a quarter of the box's memory for uploads, bodies, answers read whole and what callers have not read; the slowest gives way. What a connection does not take at once is held up to 64 KB, so that the endpoint is free; beyond that a caller has 5 s for 8 KB. An endpoint's cut while its caller held it up ends the stream for that caller alone. Connections are bounded by memory, and the one that rests longest makes room. The machine's send buffer to a caller is bounded. The product's own interface draws from the same budget and lets go of callers who do not read.

What one endpoint holds of bodies is not bounded by its memory, which it does not tell (docs/design/demands.md).

--- a/box/assemble.go
+++ b/box/assemble.go
@@ -175,6 +175,7 @@
 		MaxHeaders:    s.Limits.MaxHeaderBytes,
 		MaxConcurrent: s.Limits.MaxConcurrent,
 		BytesPerToken: s.Limits.BytesPerToken,
+		Held:          b.held,
 		Log:           o.Log,
 	})
 }
--- a/box/box.go
+++ b/box/box.go
@@ -6,6 +6,7 @@
 package box
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -17,6 +18,7 @@
 	"runridge.example/runridge/coordination/dedup"
 	"runridge.example/runridge/coordination/dispatch"
 	"runridge.example/runridge/coordination/follow"
+	"runridge.example/runridge/coordination/held"
 	"runridge.example/runridge/coordination/home"
 	members "runridge.example/runridge/coordination/member"
 	"runridge.example/runridge/coordination/quarantine"
@@ -60,6 +62,8 @@
 	Platform RelayPlatform
 	// Names are the headers of routed services; nil is the product's own.
 	Names *relayapi.Names
+	// HeldBytes is what the box may hold for callers; 0 is a part of its memory.
+	HeldBytes int64
 	// PollBoxes is how often the platform's list of boxes is read.
 	PollBoxes time.Duration
 }
@@ -98,6 +102,8 @@
 	claimer    *dedup.Claimer
 	callers    *callerhttp.Server
 	metrics    *metric.Metrics
+	// held bounds what is held in memory for callers.
+	held *held.Budget
 
 	callerListener net.Listener
 	boxListener    net.Listener
@@ -159,6 +165,7 @@
 		b.platform = b.ownPlatform
 	}
 	limitMemory(s.MemoryLimitMB)
+	b.held = held.New(held.Config{Bytes: cmp.Or(o.HeldBytes, heldBytes(s.MemoryLimitMB)), Log: o.Log})
 	b.stopTime.Store(stopTime(s))
 	b.lingerMS.Store(int64(s.LingerMS))
 	// The listeners come first: the box tells the others where it listens.
@@ -242,12 +249,13 @@
 // Heard takes in the generation that another box has in force, as its messages do.
 func (b *Box) Heard(from string, generation uint64) { b.follower.Heard(from, generation) }
 
-// Active is the number of requests under way.
+// Active is the number of requests under way, with those whose callers have not read all of
+// the answer yet.
 func (b *Box) Active() int {
 	if b.routed == nil {
 		return b.dispatch.Active()
 	}
-	return b.dispatch.Active() + b.routed.relay.Active()
+	return b.dispatch.Active() + b.routed.relay.Active() + b.routed.server.Delivering()
 }
 
 // PendingReleases is the number of holds not yet acknowledged as free.
--- a/box/routed.go
+++ b/box/routed.go
@@ -80,7 +80,16 @@
 	freshSettle = 300 * time.Millisecond
 	// memoryShare is the part of the box's memory that the heap may take.
 	memoryShare = 0.6
-	bytesPerMB  = 1 << 20
+	// heldShare is the part of the box's memory that may be held for callers.
+	heldShare = 0.25
+	// defaultHeld is what may be held where the box's memory is not told, in bytes.
+	defaultHeld = 256 << 20
+	// connectionsShare is the part of the box's memory that callers' connections may take,
+	// with connectionBytes for each: buffers, stacks and the records of its request.
+	connectionsShare = 0.3
+	connectionBytes  = 28 << 10
+	maxConnections   = 3000
+	bytesPerMB       = 1 << 20
 )
 
 // assembleRouted makes the parts for routed services.
@@ -138,6 +147,7 @@
 		Boxes:        func() int { return b.knownBoxes() + spareBoxes },
 		Budget:       budgetOf(s),
 		Cold:         coldBoundOf(s),
+		Held:         b.held,
 		Metrics:      b.metrics,
 		Log:          b.options.Log,
 	})
@@ -148,7 +158,13 @@
 		Ranked:   b.router.Ranked,
 		Log:      b.options.Log,
 	})
-	r.server = relayhttp.New(relayhttp.Config{Relay: r.relay, Names: names, Log: b.options.Log})
+	r.server = relayhttp.New(relayhttp.Config{
+		Relay:          r.relay,
+		Names:          names,
+		MaxConnections: connectionsFor(b.settings.MemoryLimitMB),
+		Held:           b.held,
+		Log:            b.options.Log,
+	})
 }
 
 // Directory is what is known of the endpoints; empty without routed services.
@@ -273,6 +289,22 @@
 	}
 }
 
+// heldBytes is how many bytes a box with so much memory holds for its callers.
+func heldBytes(megabytes int) int64 {
+	if megabytes <= 0 {
+		return defaultHeld
+	}
+	return int64(heldShare * float64(megabytes) * bytesPerMB)
+}
+
+// connectionsFor is how many connections of callers a box with so much memory takes.
+func connectionsFor(megabytes int) int {
+	if megabytes <= 0 {
+		return maxConnections
+	}
+	return min(int(connectionsShare*float64(megabytes)*bytesPerMB/connectionBytes), maxConnections)
+}
+
 // relayNames are the headers of routed services.
 func (o Options) relayNames() relayapi.Names {
 	if o.Names != nil {
--- a/box/status.go
+++ b/box/status.go
@@ -48,6 +48,7 @@
 		s.Cold = b.homes.ColdEndpoints()
 	}
 	s.Poison = b.quarantine.Status()
+	s.Held = b.held.Status()
 	if !following.PlatformHeard.IsZero() {
 		s.PlatformHeardMS = time.Since(following.PlatformHeard).Milliseconds()
 	}
@@ -102,5 +103,6 @@
 		Traffic:    b.Traffic,
 		Flows:      b.flows,
 		Drained:    b.countDrained,
+		Held:       func() map[string]int64 { return b.held.Status().ByKind },
 	})
 }
--- a/coordination/relay/answer.go
+++ b/coordination/relay/answer.go
@@ -6,10 +6,12 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"strconv"
 	"time"
 
+	"runridge.example/runridge/coordination/held"
 	"runridge.example/runridge/modules/log"
 )
 
@@ -33,12 +35,14 @@
 // take reads a plain answer to its end and passes it on. A cut answer has
 // reached nobody, so that another attempt may follow.
 func (v *run) take(ctx context.Context, id string, a *Answer) result {
-	body, err := io.ReadAll(io.LimitReader(a.Body, maxWhole+1))
-	if err != nil {
-		return v.brokeOff(ctx, err, result{kind: failed, endpoint: id, reason: "answer_cut"})
-	}
-	if len(body) > maxWhole {
+	h := v.r.cfg.Held.Open(held.Answer, v.q.ID, nil)
+	defer h.Close()
+	body, err := held.Read(a.Body, h, a.Length, maxWhole)
+	switch {
+	case errors.Is(err, held.ErrTooLong), errors.Is(err, held.ErrNoRoom):
 		return v.takeLong(ctx, id, a, body)
+	case err != nil:
+		return v.brokeOff(ctx, err, result{kind: failed, endpoint: id, reason: "answer_cut"})
 	}
 	v.suspect().Answered()
 	w := &whole{answer: a, body: body}
@@ -61,9 +65,7 @@
 		err = v.c.End()
 	}
 	if err != nil {
-		v.c.Break()
-		v.ended("caller_gone", "write")
-		return result{}
+		return v.callerLeft(err)
 	}
 	v.ended("answered", strconv.Itoa(w.answer.Status))
 	return result{}
@@ -71,30 +73,41 @@
 
 // takeLong passes a long answer on as it comes.
 func (v *run) takeLong(ctx context.Context, id string, a *Answer, head []byte) result {
+	defer func() { _ = a.Body.Close() }()
 	v.begun = true
 	v.firstAt = v.r.cfg.Now()
 	err := v.c.Head(a.Status, a.Header, a.Length)
 	if err == nil {
-		err = v.c.Write(head)
+		err = v.write(head)
 	}
 	buffer := make([]byte, pieceSize)
 	for err == nil {
-		n, readErr := a.Body.Read(buffer)
+		n, readErr := v.read(a, buffer)
 		if n > 0 {
-			err = v.c.Write(buffer[:n])
+			err = v.write(buffer[:n])
 		}
-		if readErr == io.EOF && err == nil {
-			v.suspect().Answered()
-			_ = v.c.End()
-			v.ended("answered", strconv.Itoa(a.Status))
-			return result{}
+		if err != nil || readErr == nil {
+			continue
 		}
-		if readErr != nil && err == nil {
-			err = readErr
-			v.brokeOff(ctx, err, result{endpoint: id})
+		return v.endLong(ctx, id, a, readErr)
+	}
+	return v.callerLeft(err)
+}
+
+// endLong ends a long answer that has come to its end, or broken off.
+func (v *run) endLong(ctx context.Context, id string, a *Answer, err error) result {
+	switch {
+	case errors.Is(err, io.EOF):
+		v.suspect().Answered()
+		if err := v.c.End(); err != nil {
+			return v.callerLeft(err)
 		}
+		v.ended("answered", strconv.Itoa(a.Status))
+		return result{}
+	case v.heldUp.lasts(v.r.cfg.Now()):
+		return v.gaveUpWaiting()
 	}
-	_ = a.Body.Close()
+	v.brokeOff(ctx, err, result{endpoint: id})
 	v.c.Break()
 	v.ended("broken", "answer_cut")
 	return result{}
@@ -104,31 +117,38 @@
 // until the rest has come, so that the caller never has half of one.
 func (v *run) stream(ctx context.Context, id string, a *Answer) result {
 	defer func() { _ = a.Body.Close() }()
+	h := v.r.cfg.Held.Open(held.Answer, v.q.ID, nil)
+	defer h.Close()
 	buffer := make([]byte, pieceSize)
-	var pending []byte
+	pending := partial{hold: h}
 	var first time.Time
 	for {
-		n, err := a.Body.Read(buffer)
-		pending = append(pending, buffer[:n]...)
-		if end := lastEventEnd(pending); end > 0 {
+		n, err := v.read(a, buffer)
+		if !pending.add(buffer[:n]) {
+			return result{kind: failed, reason: "no_room_for_event"}
+		}
+		if end := lastEventEnd(pending.data); end > 0 {
 			if first.IsZero() {
 				first = v.r.cfg.Now()
 			} else {
-				v.steps += bytes.Count(pending[:end], eventEnd) * v.tokensPerEvent()
+				v.steps += bytes.Count(pending.data[:end], eventEnd) * v.tokensPerEvent()
 				v.stepTime = v.r.cfg.Now().Sub(first)
 			}
-			if !v.forward(a, pending[:end]) {
-				return v.callerLeft()
+			if err := v.forward(a, pending.data[:end]); err != nil {
+				return v.callerLeft(err)
 			}
-			pending = append(pending[:0], pending[end:]...)
+			pending.drop(end)
+		}
+		if errors.Is(err, io.EOF) {
+			return v.endStream(a, pending.data)
 		}
-		if err == io.EOF {
-			return v.endStream(a, pending)
+		if err != nil && v.heldUp.lasts(v.r.cfg.Now()) {
+			return v.gaveUpWaiting()
 		}
 		if err != nil {
 			return v.brokeOff(ctx, err, result{kind: failed, endpoint: id, reason: "stream_cut"})
 		}
-		if len(pending) > maxEvent {
+		if len(pending.data) > maxEvent {
 			return result{kind: failed, endpoint: id, reason: "event_too_long"}
 		}
 	}
@@ -152,12 +172,12 @@
 }
 
 // forward gives the caller whole events. Those that it has are left out.
-func (v *run) forward(a *Answer, events []byte) bool {
+func (v *run) forward(a *Answer, events []byte) error {
 	if !v.begun {
 		v.begun = true
 		v.firstAt = v.r.cfg.Now()
-		if v.c.Head(a.Status, a.Header, -1) != nil {
-			return false
+		if err := v.c.Head(a.Status, a.Header, -1); err != nil {
+			return err
 		}
 	}
 	v.notePiece()
@@ -165,13 +185,10 @@
 	if last != "" {
 		v.lastEvent = last
 	}
-	return len(fresh) == 0 || v.c.Write(fresh) == nil
-}
-
-func (v *run) callerLeft() result {
-	v.ended("caller_gone", "write")
-	v.c.Break()
-	return result{}
+	if len(fresh) == 0 {
+		return nil
+	}
+	return v.write(fresh)
 }
 
 // endStream ends an answer whose stream came to its end.
@@ -179,12 +196,14 @@
 	if len(rest) > 0 {
 		return result{kind: failed, reason: "stream_ended_in_event"}
 	}
-	if !v.begun && !v.forward(a, nil) {
-		return v.callerLeft()
+	if !v.begun {
+		if err := v.forward(a, nil); err != nil {
+			return v.callerLeft(err)
+		}
 	}
 	v.suspect().Answered()
-	if v.c.End() != nil {
-		return v.callerLeft()
+	if err := v.c.End(); err != nil {
+		return v.callerLeft(err)
 	}
 	v.ended("answered", strconv.Itoa(a.Status))
 	return result{}
--- a/coordination/relay/relay.go
+++ b/coordination/relay/relay.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"runridge.example/runridge/coordination/held"
 	"runridge.example/runridge/coordination/home"
 	"runridge.example/runridge/coordination/quarantine"
 	"runridge.example/runridge/coordination/quota"
@@ -100,6 +101,8 @@
 	Budget retry.Config
 	// Cold bounds what cold endpoints get.
 	Cold pace.Bound
+	// Held bounds the bytes that are held of answers; nil is no bound.
+	Held *held.Budget
 	Log  log.Logger
 	Now  func() time.Time
 }
--- a/coordination/relay/run.go
+++ b/coordination/relay/run.go
@@ -92,6 +92,8 @@
 	// the first, and stepTime the time in which they came.
 	steps    int
 	stepTime time.Duration
+	// heldUp is whether the caller holds its endpoint up.
+	heldUp holdUp
 	// longestGap is the longest pause between two pieces of a stream.
 	longestGap time.Duration
 	lastPiece  time.Time
--- a/coordination/relay/types.go
+++ b/coordination/relay/types.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"time"
 
@@ -133,7 +134,11 @@
 	Free(ctx context.Context, e Endpoint, handle string) error
 }
 
-// Caller takes the answer to one request.
+// ErrSlowCaller ends an answer whose caller does not read it in time.
+var ErrSlowCaller = errors.New("the caller does not read its answer")
+
+// Caller takes the answer to one request. Its errors are ErrSlowCaller or tell that the
+// caller has gone.
 type Caller interface {
 	// Head begins an answer; length -1 is not known.
 	Head(status int, header []Field, length int64) error
--- a/modules/metric/metric.go
+++ b/modules/metric/metric.go
@@ -29,6 +29,8 @@
 	Drained func() (zones int, revision uint64)
 	// Traffic is bytes sent and received between boxes, and messages sent.
 	Traffic func() (sent, received, messages uint64)
+	// Held is the bytes held in memory for callers, by what for.
+	Held func() map[string]int64
 	// Flows is what was sent to other boxes by kind of message and distance.
 	Flows func() []Flow
 }
@@ -228,6 +230,10 @@
 	if err != nil {
 		return err
 	}
+	held, err := meter.Int64ObservableGauge("runridge.held", metric.WithUnit("By"), metric.WithDescription("Bytes held in memory for callers, by what for."))
+	if err != nil {
+		return err
+	}
 	sentBy := metric.WithAttributes(attribute.String("direction", "transmit"))
 	receivedBy := metric.WithAttributes(attribute.String("direction", "receive"))
 	_, err = meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
@@ -241,12 +247,15 @@
 		o.ObserveInt64(control, int64(sent), sentBy)
 		o.ObserveInt64(control, int64(received), receivedBy)
 		o.ObserveInt64(messages, int64(count))
+		for kind, n := range cfg.Held() {
+			o.ObserveInt64(held, n, metric.WithAttributes(attribute.String("kind", kind)))
+		}
 		for _, f := range cfg.Flows() {
 			o.ObserveInt64(flows, int64(f.Bytes), metric.WithAttributes(
 				attribute.String("kind", f.Kind), attribute.String("distance", f.Distance)))
 		}
 		return nil
-	}, active, releasing, generation, drained, drainRevision, control, messages, flows)
+	}, active, releasing, generation, drained, drainRevision, control, messages, flows, held)
 	return err
 }
 
--- a/tests/routed/site_test.go
+++ b/tests/routed/site_test.go
@@ -44,6 +44,8 @@
 	slack float64
 	// cold bounds what cold endpoints get.
 	cold pace.Bound
+	// held is what boxes may hold for callers, in bytes; 0 is their own choice.
+	held int64
 	// logs has what all boxes wrote.
 	logs  *journal
 	store *standin.Store
@@ -158,7 +160,7 @@
 			Stages: setting.StagesPlanned, PrefillPart: 0.25, LeaseMS: 400, ThawMS: 50,
 			ColdOverage: s.cold.Overage, ColdSlack: s.cold.Slack,
 		},
-	}, box.Options{Log: logger, Platform: platform.New(store), Names: &names})
+	}, box.Options{Log: logger, Platform: platform.New(store), Names: &names, HeldBytes: s.held})
 	if err != nil {
 		s.t.Fatal(err)
 	}
--- a/transport/callerhttp/complete.go
+++ b/transport/callerhttp/complete.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"runridge.example/runridge/coordination/dispatch"
+	"runridge.example/runridge/coordination/held"
 	"runridge.example/runridge/protocol/callerapi"
 	"runridge.example/runridge/state/lifecycle"
 )
@@ -24,16 +25,19 @@
 	watch   *goneWatch
 	body    callerapi.Body
 	request dispatch.Request
+	hold    *held.Hold
 	chat    bool
 	created int64
 }
 
 // complete answers a completions request.
 func (s *Server) complete(ctx *fasthttp.RequestCtx, chat bool) {
-	body, request, status, err := s.request(ctx, chat)
+	hold := s.hold(ctx)
+	body, request, status, err := s.request(ctx, hold, chat)
 	if err != nil {
+		hold.Close()
 		s.active.Add(-1)
-		s.refuseField(ctx, status, err)
+		s.refuseUnread(ctx, status, err)
 		return
 	}
 	call := s.cfg.Dispatcher.Submit(context.Background(), request)
@@ -43,6 +47,7 @@
 		watch:   watchGone(ctx.Conn(), call.Gone),
 		body:    body,
 		request: request,
+		hold:    hold,
 		chat:    chat,
 		created: time.Now().Unix(),
 	}
@@ -58,6 +63,7 @@
 // finish gives back what the exchange took.
 func (x *exchange) finish() {
 	x.watch.stop()
+	x.hold.Close()
 	x.s.active.Add(-1)
 }
 
--- a/transport/callerhttp/plain.go
+++ b/transport/callerhttp/plain.go
@@ -18,7 +18,7 @@
 
 	"runridge.example/runridge/coordination/adapter"
 	"runridge.example/runridge/coordination/dispatch"
-	"runridge.example/runridge/modules/invalid"
+	"runridge.example/runridge/coordination/held"
 	"runridge.example/runridge/protocol/callerapi"
 	"runridge.example/runridge/state/table"
 	"runridge.example/runridge/transport/plainhttp"
@@ -57,8 +57,10 @@
 type passage struct {
 	s    *Server
 	call plainhttp.Call
-	// kept is the body when it is small, to send it again.
+	// kept is the body when it is small, to send it again, and hold its part of what the
+	// box holds.
 	kept []byte
+	hold *held.Hold
 	// begun is true once a streamed body has begun to flow.
 	begun   atomic.Bool
 	answers chan *http.Response
@@ -67,24 +69,31 @@
 
 // plain passes a call on.
 func (s *Server) plain(ctx *fasthttp.RequestCtx, service table.Service) {
-	p, r, err := s.newPassage(ctx, service)
+	hold := s.hold(ctx)
+	p, r, err := s.newPassage(ctx, service, hold)
 	if err != nil {
+		hold.Close()
 		s.active.Add(-1)
-		s.refuseField(ctx, fasthttp.StatusBadRequest, err)
+		s.refuseUnread(ctx, fasthttp.StatusBadRequest, err)
 		return
 	}
 	if status, err := s.account(ctx, r.Account); err != nil {
+		hold.Close()
 		s.active.Add(-1)
 		s.refuseField(ctx, status, err)
 		return
 	}
 	call := s.cfg.Dispatcher.Submit(context.Background(), r)
-	finish := func() { s.active.Add(-1) }
+	finish := func() {
+		hold.Close()
+		s.active.Add(-1)
+	}
 	if p.kept != nil {
 		// While a body is streamed the library itself reads the connection.
 		watch := watchGone(ctx.Conn(), call.Gone)
 		finish = func() {
 			watch.stop()
+			hold.Close()
 			s.active.Add(-1)
 		}
 	}
@@ -103,8 +112,8 @@
 	}
 }
 
-func (s *Server) newPassage(ctx *fasthttp.RequestCtx, service table.Service) (*passage, dispatch.Request, error) {
-	p := &passage{s: s, answers: make(chan *http.Response), copied: make(chan error, 1)}
+func (s *Server) newPassage(ctx *fasthttp.RequestCtx, service table.Service, hold *held.Hold) (*passage, dispatch.Request, error) {
+	p := &passage{s: s, hold: hold, answers: make(chan *http.Response), copied: make(chan error, 1)}
 	r := dispatch.Request{
 		Service: service.Name,
 		Account: string(ctx.Request.Header.Peek(callerapi.HeaderAccount)),
@@ -144,20 +153,16 @@
 // takeBody keeps a small body and leaves a large one to be streamed.
 func (p *passage) takeBody(ctx *fasthttp.RequestCtx, r *dispatch.Request) error {
 	stream := ctx.RequestBodyStream()
-	if stream == nil {
-		p.kept = append([]byte{}, ctx.PostBody()...)
+	head, err := readBody(ctx, p.hold, maxKept)
+	if err == nil {
+		p.kept = head
 		p.call.Length = int64(len(p.kept))
 		return nil
 	}
-	head, err := io.ReadAll(io.LimitReader(stream, maxKept+1))
-	if err != nil {
-		return invalid.FieldError{Field: "body", Value: "cut short", Allowed: "a whole body: " + err.Error()}
-	}
-	if len(head) <= maxKept {
-		p.kept = head
-		p.call.Length = int64(len(head))
-		return nil
+	if !errors.Is(err, held.ErrTooLong) {
+		return err
 	}
+	p.hold.Complete()
 	p.call.Body = io.MultiReader(bytes.NewReader(head), stream)
 	p.call.Length = max(p.call.Length, -1)
 	// What was streamed cannot be sent again.
--- a/transport/callerhttp/refuse.go
+++ b/transport/callerhttp/refuse.go
@@ -5,11 +5,13 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"strconv"
 
 	"github.com/valyala/fasthttp"
 
 	"runridge.example/runridge/coordination/dispatch"
+	"runridge.example/runridge/coordination/held"
 	"runridge.example/runridge/protocol/callerapi"
 	"runridge.example/runridge/state/lifecycle"
 )
@@ -40,6 +42,25 @@
 	})
 }
 
+// noRoomRetryMS is when to come again to a box that has no room for a body: slower bodies
+// have given way by then.
+const noRoomRetryMS = 1000
+
+// refuseUnread answers a request that could not be read, or breaks a rule; nothing ran.
+func (s *Server) refuseUnread(ctx *fasthttp.RequestCtx, status int, err error) {
+	if !errors.Is(err, held.ErrNoRoom) {
+		s.refuseField(ctx, status, err)
+		return
+	}
+	ctx.SetConnectionClose()
+	s.refuse(ctx, fasthttp.StatusServiceUnavailable, callerapi.RefusalBody{
+		Outcome:      callerapi.OutcomeNotRun,
+		Reason:       "no_room_for_body",
+		Message:      "the box holds all the bytes that it may",
+		RetryAfterMS: noRoomRetryMS,
+	})
+}
+
 // refusalFor turns the end of a request into what its caller is told.
 func refusalFor(id lifecycle.RequestID, a dispatch.Answer) (int, callerapi.RefusalBody) {
 	body := callerapi.RefusalBody{Reason: string(a.Reason), Request: id.String()}
--- a/transport/callerhttp/request.go
+++ b/transport/callerhttp/request.go
@@ -7,7 +7,6 @@
 	"bytes"
 	"errors"
 	"fmt"
-	"io"
 	"strconv"
 	"strings"
 	"time"
@@ -15,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"runridge.example/runridge/coordination/dispatch"
+	"runridge.example/runridge/coordination/held"
 	"runridge.example/runridge/modules/invalid"
 	"runridge.example/runridge/protocol/callerapi"
 	"runridge.example/runridge/state/account"
@@ -22,33 +22,44 @@
 	"runridge.example/runridge/state/table"
 )
 
-// readBody reads a whole body within the bound.
-func (s *Server) readBody(ctx *fasthttp.RequestCtx) ([]byte, error) {
+// hold begins to hold the body of a request.
+func (s *Server) hold(ctx *fasthttp.RequestCtx) *held.Hold {
+	conn := ctx.Conn()
+	return s.cfg.Held.Open(held.Upload, ctx.RemoteAddr().String(), func() {
+		_ = conn.SetReadDeadline(time.Unix(1, 0))
+	})
+}
+
+// readBody reads a whole body within a bound, in bytes.
+func readBody(ctx *fasthttp.RequestCtx, h *held.Hold, limit int) ([]byte, error) {
 	stream := ctx.RequestBodyStream()
 	if stream == nil {
-		return ctx.PostBody(), nil
-	}
-	data, err := io.ReadAll(io.LimitReader(stream, int64(s.cfg.MaxBody)+1))
-	if err != nil {
-		return nil, invalid.FieldError{Field: "body", Value: "cut short", Allowed: "a whole body: " + err.Error()}
+		if !h.Take(len(ctx.PostBody())) {
+			return nil, held.ErrNoRoom
+		}
+		// The library uses its own copy again when the handler has returned.
+		return append([]byte{}, ctx.PostBody()...), nil
 	}
-	if len(data) > s.cfg.MaxBody {
-		return nil, errBodyTooLarge
+	data, err := held.Read(stream, h, held.Unknown, limit)
+	switch {
+	case errors.Is(err, held.ErrTooLong), errors.Is(err, held.ErrNoRoom):
+		return data, err
+	case err != nil:
+		return data, invalid.FieldError{Field: "body", Value: "cut short", Allowed: "a whole body: " + err.Error()}
 	}
+	h.Complete()
 	return data, nil
 }
 
-var errBodyTooLarge = errors.New("body too large")
-
 // request reads and checks a completions request.
-func (s *Server) request(ctx *fasthttp.RequestCtx, chat bool) (callerapi.Body, dispatch.Request, int, error) {
+func (s *Server) request(ctx *fasthttp.RequestCtx, h *held.Hold, chat bool) (callerapi.Body, dispatch.Request, int, error) {
 	if !ctx.IsPost() {
 		return callerapi.Body{}, dispatch.Request{}, fasthttp.StatusMethodNotAllowed, invalid.FieldError{
 			Field: "method", Value: string(ctx.Method()), Allowed: "POST",
 		}
 	}
-	data, err := s.readBody(ctx)
-	if errors.Is(err, errBodyTooLarge) {
+	data, err := readBody(ctx, h, s.cfg.MaxBody)
+	if errors.Is(err, held.ErrTooLong) {
 		return callerapi.Body{}, dispatch.Request{}, fasthttp.StatusRequestEntityTooLarge, invalid.FieldError{
 			Field: "body", Value: "too large", Allowed: fmt.Sprintf("at most %d bytes", s.cfg.MaxBody),
 		}
--- a/transport/callerhttp/server.go
+++ b/transport/callerhttp/server.go
@@ -17,6 +17,7 @@
 	"github.com/valyala/fasthttp"
 
 	"runridge.example/runridge/coordination/dispatch"
+	"runridge.example/runridge/coordination/held"
 	"runridge.example/runridge/modules/invalid"
 	"runridge.example/runridge/modules/log"
 	"runridge.example/runridge/protocol/callerapi"
@@ -49,7 +50,9 @@
 	MaxConcurrent int
 	// BytesPerToken estimates a prompt's tokens.
 	BytesPerToken float64
-	Log           log.Logger
+	// Held bounds the bytes that are held for callers; nil is no bound.
+	Held *held.Budget
+	Log  log.Logger
 }
 
 const (
@@ -59,7 +62,10 @@
 	defaultBytesPerToken = 4
 	idleTimeout          = 2 * time.Minute
 	readTimeout          = 30 * time.Second
-	writeTimeout         = 0
+	// writeTimeout ends the connection of a caller who does not read writePiece bytes
+	// in that time.
+	writeTimeout = 5 * time.Second
+	writePiece   = 8 << 10
 )
 
 // Server answers callers.
@@ -91,7 +97,6 @@
 		MaxRequestBodySize:    cfg.MaxBody,
 		StreamRequestBody:     true,
 		ReadTimeout:           readTimeout,
-		WriteTimeout:          writeTimeout,
 		IdleTimeout:           idleTimeout,
 		NoDefaultServerHeader: true,
 		NoDefaultContentType:  true,
@@ -111,7 +116,7 @@
 // Serve answers until the context ends; requests in flight are finished first.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
 	ended := make(chan error, 1)
-	go func() { ended <- s.http.Serve(l) }()
+	go func() { ended <- s.http.Serve(patientListener{l}) }()
 	select {
 	case err := <-ended:
 		return err
--- a/transport/operatorhttp/operatorhttp.go
+++ b/transport/operatorhttp/operatorhttp.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"runridge.example/runridge/coordination/drain"
+	"runridge.example/runridge/coordination/held"
 	"runridge.example/runridge/coordination/home"
 	"runridge.example/runridge/coordination/quarantine"
 	"runridge.example/runridge/coordination/quota"
@@ -73,6 +74,8 @@
 	Homes []GroupHome `json:"homes,omitempty"`
 	// Poison are the requests that end the endpoints which run them.
 	Poison quarantine.Status `json:"poison"`
+	// Held is what the box holds in memory for callers.
+	Held held.Status `json:"held"`
 	// Cold are the cold endpoints of those groups.
 	Cold []home.ColdEndpoint `json:"cold,omitempty"`
 }
--- a/transport/relayhttp/read.go
+++ b/transport/relayhttp/read.go
@@ -17,7 +17,9 @@
 
 	"github.com/valyala/fasthttp"
 
+	"runridge.example/runridge/coordination/held"
 	"runridge.example/runridge/coordination/relay"
+	"runridge.example/runridge/modules/log"
 	"runridge.example/runridge/protocol/relayapi"
 )
 
@@ -28,12 +30,16 @@
 	last bool
 	// old is a caller that speaks HTTP/1.0.
 	old bool
+	// held is the body's part of what the box holds.
+	held *held.Hold
 }
 
 // requestError is a request that is turned away before it is served.
 type requestError struct {
 	status int
 	reason string
+	// retryAfter is when to come again; 0 is not said.
+	retryAfter time.Duration
 }
 
 // Error names the reason.
@@ -63,10 +69,7 @@
 	}
 	q := c.request(&h)
 	q.Arrived = arrived
-	if err := c.body(&q, framing, b); err != nil {
-		return request{}, err
-	}
-	return q, nil
+	return q, c.body(&q, framing, b)
 }
 
 // readBlock reads up to the empty line that ends a head.
@@ -233,26 +236,53 @@
 	if !f.body {
 		return nil
 	}
-	_ = c.raw.SetReadDeadline(time.Now().Add(bodyTimeout))
 	if f.length > int64(b.body) {
-		return requestError{status: http.StatusRequestEntityTooLarge, reason: "body too large"}
-	}
-	if !f.chunked {
-		q.Body = make([]byte, f.length)
-		if _, err := io.ReadFull(c.reader, q.Body); err != nil {
-			return errEnded
-		}
-		return nil
+		return errBodyTooLarge
 	}
-	data, err := io.ReadAll(io.LimitReader(httputil.NewChunkedReader(c.reader), int64(b.body)+1))
+	q.held = c.s.cfg.Held.Open(held.Upload, q.ID, c.source.giveWay)
+	err := c.readBody(q, f, b)
 	if err != nil {
-		return errEnded
+		q.held.Close()
+		return err
 	}
-	if len(data) > b.body {
-		return requestError{status: http.StatusRequestEntityTooLarge, reason: "body too large"}
+	q.held.Complete()
+	return nil
+}
+
+var (
+	errBodyTooLarge = requestError{status: http.StatusRequestEntityTooLarge, reason: "body too large"}
+	errBodyTooSlow  = requestError{status: http.StatusRequestTimeout, reason: "body too slow"}
+	errNoRoom       = requestError{status: http.StatusServiceUnavailable, reason: "no_room_for_body", retryAfter: noRoomRetry}
+)
+
+// noRoomRetry is when to come again to a box that has no room for a body: slower bodies have
+// given way by then.
+const noRoomRetry = time.Second
+
+// readBody reads a body as it comes.
+func (c *conn) readBody(q *request, f framing, b bounds) error {
+	c.source.begin()
+	defer c.source.end()
+	length, framed := f.length, io.LimitReader(c.reader, f.length)
+	if f.chunked {
+		length, framed = held.Unknown, httputil.NewChunkedReader(c.reader)
+	}
+	data, err := held.Read(framed, q.held, length, b.body)
+	switch {
+	case errors.Is(err, held.ErrTooLong):
+		return errBodyTooLarge
+	case errors.Is(err, held.ErrNoRoom):
+		return errNoRoom
+	case err != nil && isTimeout(err):
+		return errBodyTooSlow
+	case err != nil || !f.chunked && int64(len(data)) < f.length:
+		return errEnded
 	}
 	q.Body = data
-	return c.trailers(b.header)
+	if f.chunked {
+		return c.trailers(b.header)
+	}
+	return nil
 }
 
 // trailers reads and drops what follows the last chunk.
@@ -271,16 +301,23 @@
 }
 
 // reject answers a request that could not be read, and ends the connection.
-func (c *conn) reject(err error) {
+func (c *conn) reject(id string, err error) {
 	var b requestError
 	if !errors.As(err, &b) {
 		return
 	}
+	c.s.cfg.Log.WithFields(log.Fields{log.FieldRequest: id, "status": b.status, log.FieldReason: b.reason}).Info("request_rejected")
 	text := fmt.Sprintf("{\"error\":%q}\n", b.reason)
-	_ = c.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
-	_, _ = fmt.Fprintf(c.writer, "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s",
-		b.status, http.StatusText(b.status), len(text), text)
-	if c.writer.Flush() == nil {
+	retry := ""
+	if b.retryAfter > 0 {
+		retry = "Retry-After: " + formatSeconds(b.retryAfter) + "\r\n"
+	}
+	_, _ = fmt.Fprintf(c.writer, "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n%sConnection: close\r\n\r\n%s",
+		b.status, http.StatusText(b.status), len(text), retry, text)
+	if c.writer.Flush() != nil {
+		return
+	}
+	if _, err := c.out.finish(writeTimeout); err == nil {
 		c.closeGently()
 	}
 }
--- a/transport/relayhttp/reply.go
+++ b/transport/relayhttp/reply.go
@@ -7,7 +7,6 @@
 	"bufio"
 	"bytes"
 	"encoding/json"
-	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -75,10 +74,7 @@
 	_, _ = b.WriteString("\r\n")
 }
 
-func (w *reply) flush() error {
-	_ = w.conn.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
-	return w.conn.writer.Flush()
-}
+func (w *reply) flush() error { return w.conn.writer.Flush() }
 
 // Write passes a piece on at once.
 func (w *reply) Write(p []byte) error {
@@ -86,7 +82,6 @@
 		return nil
 	}
 	b := w.conn.writer
-	_ = w.conn.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
 	if w.chunked {
 		_, _ = b.WriteString(strconv.FormatInt(int64(len(p)), 16))
 		_, _ = b.WriteString("\r\n")
@@ -108,16 +103,18 @@
 }
 
 // Break ends an answer so that it cannot be taken for a whole one: the
-// connection ends without the end that its framing asks for.
+// connection ends without the end that its framing asks for, once the caller
+// has what came before.
 func (w *reply) Break() {
 	w.done, w.broken = true, true
-	if t, ok := w.conn.raw.(*net.TCPConn); ok && w.q.old {
-		// Without framing only a reset tells a broken answer from a whole one.
-		_ = t.SetLinger(0)
+	if w.conn.out.unread() == 0 {
+		w.conn.cut(w.q.old)
 	}
-	_ = w.conn.raw.Close()
 }
 
+// formatSeconds writes a duration as Retry-After has it.
+func formatSeconds(d time.Duration) string { return strconv.FormatFloat(d.Seconds(), 'f', 3, 64) }
+
 // errorBody is the body of an answer in the box's own name.
 type errorBody struct {
 	Error string `json:"error"`
@@ -137,8 +134,7 @@
 		fields = append(fields, relay.Field{Name: "WWW-Authenticate", Value: scheme})
 	}
 	if r.RetryAfter > 0 {
-		seconds := strconv.FormatFloat(r.RetryAfter.Seconds(), 'f', 3, 64)
-		fields = append(fields, relay.Field{Name: "Retry-After", Value: seconds})
+		fields = append(fields, relay.Field{Name: "Retry-After", Value: formatSeconds(r.RetryAfter)})
 	}
 	if w.Head(r.Status, fields, int64(len(body))) != nil || w.Write(body) != nil || w.End() != nil {
 		w.Break()
--- a/transport/relayhttp/server.go
+++ b/transport/relayhttp/server.go
@@ -15,6 +15,7 @@
 	"sync/atomic"
 	"time"
 
+	"runridge.example/runridge/coordination/held"
 	"runridge.example/runridge/coordination/relay"
 	"runridge.example/runridge/modules/log"
 	"runridge.example/runridge/protocol/relayapi"
@@ -34,7 +35,9 @@
 	Names relayapi.Names
 	// MaxConnections bounds the callers' connections; 0 is the default.
 	MaxConnections int
-	Log            log.Logger
+	// Held bounds the bytes that are held for callers; nil is no bound.
+	Held *held.Budget
+	Log  log.Logger
 }
 
 const (
@@ -43,10 +46,15 @@
 	defaultHeaderTimeout  = 5 * time.Second
 	defaultIdleTimeout    = 60 * time.Second
 	defaultMaxConnections = 3000
-	// bodyTimeout bounds the reading of one body.
+	// bodyTimeout bounds the reading of one body, and bodyPause how long nothing of it
+	// may come.
 	bodyTimeout = 30 * time.Second
+	bodyPause   = 10 * time.Second
 	// writeTimeout ends the connection of a caller who does not read.
 	writeTimeout = 5 * time.Second
+	// deliverTimeout bounds how long a caller may take to read what is left of an
+	// answer that its endpoint has ended.
+	deliverTimeout = 60 * time.Second
 	// idleGrace is how much longer than announced a connection may rest, so
 	// that a caller's next request does not cross its close.
 	idleGrace = 2 * time.Second
@@ -54,6 +62,9 @@
 	// answer is not lost to a reset.
 	closePatience = 500 * time.Millisecond
 	acceptPause   = 10 * time.Millisecond
+	// sendBuffer bounds what the machine takes in of an answer that its caller does not
+	// read, in bytes: it would take megabytes for each, past the box's own bound.
+	sendBuffer = 32 << 10
 )
 
 // Server answers callers.
@@ -66,6 +77,8 @@
 	closing bool
 	open    int
 	wait    sync.WaitGroup
+	// delivering counts the answers of which their callers have not read all yet.
+	delivering atomic.Int64
 }
 
 // New makes a server.
@@ -92,6 +105,9 @@
 			_ = raw.Close()
 			continue
 		}
+		if t, ok := raw.(*net.TCPConn); ok {
+			_ = t.SetWriteBuffer(sendBuffer)
+		}
 		s.wait.Add(1)
 		go func() {
 			defer s.wait.Done()
@@ -101,22 +117,45 @@
 	}
 }
 
+// admit says whether there is room for a new connection. Where there are too many, the one
+// that has rested longest makes room.
 func (s *Server) admit() bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if s.open >= s.cfg.MaxConnections {
+	if s.open >= s.cfg.MaxConnections && !s.endResting() {
 		return false
 	}
 	s.open++
 	return true
 }
 
+// endResting ends the connection that has rested longest; false is that none rests. The mutex
+// is held.
+func (s *Server) endResting() bool {
+	var longest *conn
+	for c := range s.resting {
+		if longest == nil || c.rested.Before(longest.rested) {
+			longest = c
+		}
+	}
+	if longest == nil {
+		return false
+	}
+	delete(s.resting, longest)
+	_ = longest.raw.SetReadDeadline(time.Unix(1, 0))
+	return true
+}
+
 func (s *Server) leave() {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.open--
 }
 
+// Delivering is the number of requests that are served, but for the rest of the answer that
+// the caller has not read yet.
+func (s *Server) Delivering() int { return int(s.delivering.Load()) }
+
 // Leave makes every further answer the last of its connection.
 func (s *Server) Leave() { s.stopping.Store(true) }
 
@@ -178,16 +217,24 @@
 	raw    net.Conn
 	reader *bufio.Reader
 	writer *bufio.Writer
+	out    *outlet
+	// rested is since when it waits for a request.
+	rested time.Time
+	// source is what reader reads from.
+	source *bodySource
 }
 
 const bufferSize = 4 << 10
 
 func newConn(s *Server, raw net.Conn) *conn {
+	out, source := newOutlet(raw, s.cfg.Held), &bodySource{raw: raw}
 	return &conn{
 		s:      s,
 		raw:    raw,
-		reader: bufio.NewReaderSize(raw, bufferSize),
-		writer: bufio.NewWriterSize(raw, bufferSize),
+		reader: bufio.NewReaderSize(source, bufferSize),
+		writer: bufio.NewWriterSize(out, bufferSize),
+		out:    out,
+		source: source,
 	}
 }
 
@@ -201,7 +248,7 @@
 		b := c.s.bounds()
 		q, err := c.read(b)
 		if err != nil {
-			c.reject(err)
+			c.reject(q.ID, err)
 			return
 		}
 		if !c.answer(ctx, q) {
@@ -220,6 +267,7 @@
 		c.s.mutex.Unlock()
 		return false
 	}
+	c.rested = time.Now()
 	c.s.resting[c] = struct{}{}
 	_ = c.raw.SetReadDeadline(time.Now().Add(c.s.bounds().idleIn + idleGrace))
 	c.s.mutex.Unlock()
@@ -234,14 +282,23 @@
 func (c *conn) answer(ctx context.Context, q request) bool {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	defer q.held.Close()
 	w := &reply{conn: c, q: q, names: c.s.cfg.Names}
+	w.q.Body = nil
+	c.out.begin(q.ID)
 	watch := c.watch(cancel)
 	c.s.cfg.Relay.Serve(ctx, q.Request, w)
-	alive := watch.stop()
+	q.held.Close()
 	if !w.done {
 		w.Break()
 	}
-	if w.broken || !alive {
+	c.deliver(q.ID)
+	alive := watch.stop()
+	if w.broken {
+		c.cut(q.old)
+		return false
+	}
+	if !alive {
 		return false
 	}
 	if w.last {
@@ -251,6 +308,36 @@
 	return true
 }
 
+// deliver waits until the caller has read the rest of its answer. The endpoint has ended it,
+// so that nothing but the box waits for the caller.
+func (c *conn) deliver(id string) {
+	unread := c.out.unread()
+	if unread == 0 {
+		return
+	}
+	c.s.delivering.Add(1)
+	defer c.s.delivering.Add(-1)
+	begun := time.Now()
+	left, err := c.out.finish(deliverTimeout)
+	line := c.s.cfg.Log.WithFields(log.Fields{
+		log.FieldRequest: id, "unread": unread, "left": left, "ms": time.Since(begun).Milliseconds(),
+	})
+	if err != nil {
+		line.WithError(err).Info("answer_not_read")
+		return
+	}
+	line.Info("answer_read")
+}
+
+// cut ends the connection so that a broken answer cannot be taken for a whole one.
+func (c *conn) cut(unframed bool) {
+	if t, ok := c.raw.(*net.TCPConn); ok && unframed {
+		// Without framing only a reset tells a broken answer from a whole one.
+		_ = t.SetLinger(0)
+	}
+	_ = c.raw.Close()
+}
+
 // closeGently ends the sending side and reads what still comes, since a close
 // with unread bytes resets the connection and may take the answer with it.
 func (c *conn) closeGently() {
--- a/transport/upstream/exchange.go
+++ b/transport/upstream/exchange.go
@@ -67,10 +67,20 @@
 	return x.answer(resp), nil
 }
 
-// write sends the request.
+// write sends the request. A long body is not copied: the box holds it once, however slowly
+// its endpoint reads.
 func (x *exchange) write(head []byte) {
 	defer close(x.written)
-	x.sent, x.writeErr = x.conn.raw.Write(append(head, x.call.Body...))
+	if len(x.call.Body) < longBody {
+		x.sent, x.writeErr = x.conn.raw.Write(append(head, x.call.Body...))
+		return
+	}
+	x.sent, x.writeErr = x.conn.raw.Write(head)
+	if x.writeErr != nil {
+		return
+	}
+	n, err := x.conn.raw.Write(x.call.Body)
+	x.sent, x.writeErr = x.sent+n, err
 }
 
 // fail ends the exchange and types the error by what it proves: a request of
