Messages between boxes are read by builds of other versions

Cause: structs go by position, and the library refuses one with another number of fields; an unknown kind ended the connection. Between, one field in Member and one in Entry made two fleets that took each other for dead.

Change: a greeting tells the version that a box reads. Frames are read loosely: fields beyond this build's are passed over, those that lack stay empty, kinds and bodies that are not known are counted and passed over, and logged once for each peer. A box sends only what its peer reads: to builds that tell no version fields by name, which these read whichever there are, and no kind that some of them lack, unless they have sent it. The answer to a box that starts comes in parts of 256 boxes, as that of 1,080 would not have fitted into a frame. runridgectl builds; runridge.control.unknown.

TestFlows: its peer does not greet, so the frame it expects is that for builds without a version; as strict.

--- a/box/status.go
+++ b/box/status.go
@@ -4,9 +4,12 @@
 package box
 
 import (
+	"fmt"
 	"time"
 
 	"runridge.example/runridge/modules/metric"
+	"runridge.example/runridge/modules/version"
+	"runridge.example/runridge/protocol/boxwire"
 	"runridge.example/runridge/state/table"
 	"runridge.example/runridge/transport/operatorhttp"
 )
@@ -32,6 +35,7 @@
 		Messages:        messages,
 		TableAgeMS:      ageMS(b.follower.Age()),
 	}
+	s.Build, s.Wire, s.Peers, s.Unknown = version.Version, uint16(boxwire.VersionNow), b.peerVersions(), b.unknownMessages()
 	s.PlatformBytesSent, s.PlatformBytesReceived = b.platformTraffic()
 	for _, f := range b.net.Flows() {
 		s.Flows = append(s.Flows, operatorhttp.Flow{
@@ -64,6 +68,25 @@
 	return s
 }
 
+// peerVersions counts the boxes that have greeted this one by the version that they read.
+func (b *Box) peerVersions() map[uint16]int {
+	out := make(map[uint16]int)
+	for _, p := range b.net.Versions() {
+		out[uint16(p.Version)]++
+	}
+	return out
+}
+
+// unknownMessages counts the messages that this build did not know or could not read. A kind
+// without a name goes by its number.
+func (b *Box) unknownMessages() map[string]uint64 {
+	out := make(map[string]uint64)
+	for k, count := range b.net.Unknown() {
+		out[fmt.Sprintf("%d %s", uint8(k), k)] = count
+	}
+	return out
+}
+
 // groupHomes lists the groups with their homes.
 func (b *Box) groupHomes() []operatorhttp.GroupHome {
 	members := b.members.Snapshot()
@@ -103,6 +126,7 @@
 		Traffic:    b.Traffic,
 		Flows:      b.flows,
 		Drained:    b.countDrained,
+		Unknown:    b.unknownMessages,
 		Held:       func() map[string]int64 { return b.held.Status().ByKind },
 	})
 }
--- a/cmd/runridgectl/main.go
+++ b/cmd/runridgectl/main.go
@@ -41,6 +41,7 @@
 	addAllowed(parser)
 	addCold(parser)
 	addPoison(parser)
+	addBuilds(parser)
 	os.Exit(command.Run(parser, exitCode))
 }
 
--- a/modules/metric/metric.go
+++ b/modules/metric/metric.go
@@ -31,6 +31,9 @@
 	Traffic func() (sent, received, messages uint64)
 	// Held is the bytes held in memory for callers, by what for.
 	Held func() map[string]int64
+	// Unknown is the messages of other boxes that were not known or could not be read, by
+	// kind.
+	Unknown func() map[string]uint64
 	// Flows is what was sent to other boxes by kind of message and distance.
 	Flows func() []Flow
 }
@@ -234,6 +237,10 @@
 	if err != nil {
 		return err
 	}
+	unknown, err := meter.Int64ObservableCounter("runridge.control.unknown", metric.WithUnit("{message}"), metric.WithDescription("Messages of other boxes that this build does not know or cannot read."))
+	if err != nil {
+		return err
+	}
 	sentBy := metric.WithAttributes(attribute.String("direction", "transmit"))
 	receivedBy := metric.WithAttributes(attribute.String("direction", "receive"))
 	_, err = meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
@@ -250,12 +257,15 @@
 		for kind, n := range cfg.Held() {
 			o.ObserveInt64(held, n, metric.WithAttributes(attribute.String("kind", kind)))
 		}
+		for kind, n := range cfg.Unknown() {
+			o.ObserveInt64(unknown, int64(n), metric.WithAttributes(attribute.String("kind", kind)))
+		}
 		for _, f := range cfg.Flows() {
 			o.ObserveInt64(flows, int64(f.Bytes), metric.WithAttributes(
 				attribute.String("kind", f.Kind), attribute.String("distance", f.Distance)))
 		}
 		return nil
-	}, active, releasing, generation, drained, drainRevision, control, messages, flows, held)
+	}, active, releasing, generation, drained, drainRevision, control, messages, flows, held, unknown)
 	return err
 }
 
--- a/protocol/boxwire/boxwire.go
+++ b/protocol/boxwire/boxwire.go
@@ -14,6 +14,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"reflect"
 
 	"github.com/vmihailenco/msgpack/v5"
 
@@ -76,8 +77,12 @@
 	return maxSmall
 }
 
-// ErrFrame is returned for a frame that breaks the rules.
-var ErrFrame = errors.New("bad frame")
+// ErrFrame is returned for a frame that breaks the rules, and ErrNotRead for a message that
+// its receiver does not read.
+var (
+	ErrFrame   = errors.New("bad frame")
+	ErrNotRead = errors.New("message is not read there")
+)
 
 // Message is one of the message types of this package.
 type Message interface {
@@ -90,6 +95,8 @@
 	Incarnation uint64
 	// Proof is the HMAC over the greeting when boxes share a key.
 	Proof []byte
+	// Version is what the box reads.
+	Version Version
 }
 
 // Member is a message of the membership protocol. Generation is the sender's
@@ -182,14 +189,24 @@
 	KindSuspectsPull: func() Message { return &SuspectsPull{} },
 }
 
-// Append adds the frame of a message to buf.
-func Append(buf []byte, m Message) ([]byte, error) {
+// Append adds the frame of a message to buf, as builds of a version read it.
+func Append(buf []byte, m Message, v Version) ([]byte, error) {
+	if !v.Reads(m.Kind()) {
+		return buf, fmt.Errorf("%w: kind %s, version %d", ErrNotRead, m.Kind(), v)
+	}
+	if u, ok := m.(*Update); ok && v == VersionNone {
+		var err error
+		if m, err = u.unpacked(); err != nil {
+			return buf, err
+		}
+	}
 	var body bytes.Buffer
 	encoder := msgpack.GetEncoder()
 	defer msgpack.PutEncoder(encoder)
 	encoder.Reset(&body)
 	// Fields go by position: names would be most of a small message.
-	encoder.UseArrayEncodedStructs(true)
+	encoder.UseArrayEncodedStructs(v != VersionNone)
+	encoder.SetOmitEmpty(v == VersionNone)
 	encoder.UseCompactInts(true)
 	if err := encoder.Encode(m); err != nil {
 		return buf, fmt.Errorf("encode message kind %d: %w", m.Kind(), err)
@@ -208,35 +225,50 @@
 	io.ByteReader
 }
 
-// Read takes one message from r. It reads no more than MaxFrame and the header.
+// Read takes one message from r. It reads no more than MaxFrame and the header. A message
+// that this build does not know, or cannot read, is an Unknown; an error is a frame that
+// cannot be cut, after which nothing can be read.
 func Read(r Reader) (Message, error) {
-	kind, err := r.ReadByte()
+	code, err := r.ReadByte()
 	if err != nil {
 		return nil, err
 	}
-	blank, known := blanks[Kind(kind)]
-	if !known {
-		return nil, fmt.Errorf("%w: kind %d is not known", ErrFrame, kind)
+	kind := Kind(code)
+	blank, known := blanks[kind]
+	limit := MaxFrame
+	if known {
+		limit = kind.limit()
 	}
 	length, err := binary.ReadUvarint(r)
 	if err != nil {
 		return nil, fmt.Errorf("%w: length: %w", ErrFrame, err)
 	}
-	if limit := Kind(kind).limit(); length > uint64(limit) {
+	if length > uint64(limit) {
 		return nil, fmt.Errorf("%w: body of %d bytes, allowed: at most %d", ErrFrame, length, limit)
 	}
+	if !known {
+		if _, err := io.CopyN(io.Discard, r, int64(length)); err != nil {
+			return nil, err
+		}
+		return &Unknown{Code: kind}, nil
+	}
 	body := make([]byte, length)
 	if _, err := io.ReadFull(r, body); err != nil {
 		return nil, err
 	}
+	m := blank()
+	if err := decode(body, m); err != nil {
+		return &Unknown{Code: kind, Err: err}, nil
+	}
+	return m, nil
+}
+
+// decode reads a value from the bytes of a body.
+func decode(body []byte, into any) error {
 	// The library makes room for as many items as a list says that it has. So
 	// the body is walked first: a list that says more than is there ends here.
 	if err := msgpack.NewDecoder(bytes.NewReader(body)).Skip(); err != nil {
-		return nil, fmt.Errorf("%w: kind %d: %w", ErrFrame, kind, err)
+		return err
 	}
-	m := blank()
-	if err := msgpack.Unmarshal(body, m); err != nil {
-		return nil, fmt.Errorf("%w: kind %d: %w", ErrFrame, kind, err)
-	}
-	return m, nil
+	return decodeLoose(msgpack.NewDecoder(bytes.NewReader(body)), reflect.ValueOf(into).Elem())
 }
--- a/protocol/boxwire/boxwire_test.go
+++ b/protocol/boxwire/boxwire_test.go
@@ -65,7 +65,7 @@
 func TestMessagesComeBackAsTheyWere(t *testing.T) {
 	for _, m := range samples() {
 		convey.Convey(reflect.TypeOf(m).String(), t, func() {
-			frame, err := Append([]byte("before"), m)
+			frame, err := Append([]byte("before"), m, VersionNow)
 			convey.So(err, convey.ShouldBeNil)
 			back, err := Read(bufio.NewReader(bytes.NewReader(frame[len("before"):])))
 			convey.So(err, convey.ShouldBeNil)
@@ -121,7 +121,7 @@
 // bound, and that what it takes it can write again.
 func FuzzRead(f *testing.F) {
 	for _, m := range samples() {
-		frame, err := Append(nil, m)
+		frame, err := Append(nil, m, VersionNow)
 		if err != nil {
 			f.Fatal(err)
 		}
@@ -133,7 +133,7 @@
 		if err != nil {
 			return
 		}
-		if _, err := Append(nil, m); err != nil && !errors.Is(err, ErrFrame) {
+		if _, err := Append(nil, m, VersionNow); err != nil && !errors.Is(err, ErrFrame) {
 			t.Fatal(err)
 		}
 	})
--- a/protocol/boxwire/poison_test.go
+++ b/protocol/boxwire/poison_test.go
@@ -41,7 +41,7 @@
 	for range poison.MaxSent {
 		u.Suspects = append(u.Suspects, someSuspect(now.Add(-poison.Keep/2)))
 	}
-	frame, err := Append(nil, FromSuspects(now, u))
+	frame, err := Append(nil, FromSuspects(now, u), VersionNow)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/protocol/boxwire/update.go
+++ b/protocol/boxwire/update.go
@@ -31,9 +31,7 @@
 }}
 
 // FromUpdate converts an update to its message. The 3,000 endpoints of a large fleet
-// are 193 KB as they stand and 40 KB packed (TestUpdatePacked). A packed update has
-// nothing beside its packed form, so that a box of an earlier version, which does not
-// know that, takes nothing from it and reads the platform itself.
+// are 193 KB as they stand and 40 KB packed (TestUpdatePacked).
 func FromUpdate(n directory.Update, generation uint64) (*Update, error) {
 	if len(n.Changes) < leastPacked {
 		return &Update{Update: n, Generation: generation}, nil
@@ -69,10 +67,15 @@
 	if len(data) > maxUnpacked {
 		return n, fmt.Errorf("%w: changes of endpoints of more than %d bytes", ErrFrame, maxUnpacked)
 	}
-	// As with each frame, a list that says more than is there ends here.
-	if err := msgpack.NewDecoder(bytes.NewReader(data)).Skip(); err != nil {
+	if err := decode(data, &n); err != nil {
 		return n, fmt.Errorf("%w: changes of endpoints: %w", ErrFrame, err)
 	}
-	err = msgpack.Unmarshal(data, &n)
-	return n, err
+	return n, nil
+}
+
+// unpacked is the message for builds that read packed changes only if theirs have as many
+// fields.
+func (m *Update) unpacked() (*Update, error) {
+	n, err := m.Open()
+	return &Update{Update: n, Generation: m.Generation}, err
 }
--- a/protocol/boxwire/update_test.go
+++ b/protocol/boxwire/update_test.go
@@ -44,7 +44,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			frame, err := Append(nil, m)
+			frame, err := Append(nil, m, VersionNow)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -62,7 +62,7 @@
 
 func TestUpdatePacked(t *testing.T) {
 	n := directory.Update{Whole: true, At: 9, Changes: changesOf(3000)}
-	plain, err := Append(nil, &Update{Update: n})
+	plain, err := Append(nil, &Update{Update: n}, VersionNow)
 	if err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/protocol/boxwire/version_test.go
@@ -0,0 +1,313 @@
+// Copyright 2026 The Runridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package boxwire
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/binary"
+	"encoding/hex"
+	"errors"
+	"flag"
+	"fmt"
+	"maps"
+	"os"
+	"path/filepath"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"pgregory.net/rapid"
+
+	"runridge.example/runridge/state/member"
+)
+
+// unversioned has the frames that this build writes to builds whose greetings tell no version,
+// and furtherFields those of messages with fields that some of these builds don't have.
+const (
+	unversioned   = "testdata/frames/unversioned.txt"
+	furtherFields = "testdata/frames/further-fields.txt"
+)
+
+var writeFrames = flag.Bool("write-frames", false, "write the frames to builds without a version anew; testdata/record.sh has the builds read them")
+
+// further are messages with the fields that golden leaves out.
+func further() map[string]Message {
+	all := golden()
+	hello := *all["hello"].(*Hello)
+	hello.Version = VersionNow
+	m := *all["member"].(*Member)
+	m.Suspects = 11
+	update := withChanges(all["update"].(*Update), 1)
+	update.Update.Changes[0].Entry.Born = 1_800_000_000_125
+	return map[string]Message{"hello": &hello, "member": &m, "update": update}
+}
+
+// framesIn reads a file of frames by name.
+func framesIn(t *testing.T, path string) map[string][]byte {
+	t.Helper()
+	data, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	out := make(map[string][]byte)
+	for _, line := range strings.Split(strings.TrimSpace(string(data)), "\n") {
+		name, text, _ := strings.Cut(line, "\t")
+		frame, err := hex.DecodeString(text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		out[name] = frame
+	}
+	return out
+}
+
+func readFrame(t *testing.T, frame []byte) Message {
+	t.Helper()
+	m, err := Read(bufio.NewReader(bytes.NewReader(frame)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return m
+}
+
+// TestFramesOfEarlierBuilds reads what the builds recorded have written.
+func TestFramesOfEarlierBuilds(t *testing.T) {
+	files, err := filepath.Glob("testdata/frames/*.txt")
+	if err != nil || len(files) < 4 {
+		t.Fatalf("%d files of frames (%v)", len(files), err)
+	}
+	for _, path := range files {
+		if path == furtherFields {
+			continue
+		}
+		t.Run(filepath.Base(path), func(t *testing.T) {
+			frames := framesIn(t, path)
+			for name, want := range golden() {
+				if got := readFrame(t, frames[name]); !reflect.DeepEqual(got, want) {
+					t.Errorf("%s: got %+v, want %+v", name, got, want)
+				}
+			}
+		})
+	}
+}
+
+// TestFramesToEarlierBuilds holds that builds without a version are sent the frames that they
+// were seen to read.
+func TestFramesToEarlierBuilds(t *testing.T) {
+	for path, all := range map[string]map[string]Message{unversioned: golden(), furtherFields: further()} {
+		t.Run(filepath.Base(path), func(t *testing.T) {
+			var out strings.Builder
+			for _, name := range slices.Sorted(maps.Keys(all)) {
+				frame, err := Append(nil, all[name], VersionNone)
+				if err != nil {
+					t.Fatal(err)
+				}
+				_, _ = fmt.Fprintf(&out, "%s\t%x\n", name, frame)
+			}
+			if *writeFrames {
+				const mode = 0o600
+				if err := os.WriteFile(path, []byte(out.String()), mode); err != nil {
+					t.Fatal(err)
+				}
+			}
+			want, err := os.ReadFile(path)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if out.String() != string(want) {
+				t.Errorf("the frames are others than those of %s", path)
+			}
+		})
+	}
+}
+
+// TestKindsOfThisVersion holds that a kind which some build may not know says since when it is
+// read, and is not sent before.
+func TestKindsOfThisVersion(t *testing.T) {
+	recorded := make(map[Kind]bool)
+	for _, m := range golden() {
+		recorded[m.Kind()] = true
+	}
+	for k, blank := range blanks {
+		if VersionNone.Reads(k) != recorded[k] {
+			t.Errorf("%s: read by builds without a version: %v, by those recorded: %v", k, VersionNone.Reads(k), recorded[k])
+		}
+		if !VersionNow.Reads(k) {
+			t.Errorf("%s is not read by this build", k)
+		}
+		_, err := Append(nil, blank(), VersionNone)
+		if sent := !errors.Is(err, ErrNotRead); sent != recorded[k] {
+			t.Errorf("%s: sent %v (%v)", k, sent, err)
+		}
+	}
+}
+
+// TestPackedUpdatesToEarlierBuilds holds that changes which are packed here reach builds that
+// would refuse what is inside.
+func TestPackedUpdatesToEarlierBuilds(t *testing.T) {
+	want := withChanges(golden()["update"].(*Update), 2*leastPacked)
+	m, err := FromUpdate(want.Update, want.Generation)
+	if err != nil || len(m.Packed) == 0 {
+		t.Fatalf("%d bytes packed (%v)", len(m.Packed), err)
+	}
+	frame, err := Append(nil, m, VersionNone)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := readFrame(t, frame); !reflect.DeepEqual(got, Message(want)) {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+}
+
+// withChanges is an update with so many changes.
+func withChanges(m *Update, count int) *Update {
+	out := *m
+	out.Update.Changes = nil
+	for i := range count {
+		c := m.Update.Changes[0]
+		c.Entry.ID = fmt.Sprintf("e-%d", i)
+		out.Update.Changes = append(out.Update.Changes, c)
+	}
+	return &out
+}
+
+// writeLater writes a value as a build of the future does: each struct has further fields.
+func writeLater(e *msgpack.Encoder, v reflect.Value, more []any) error {
+	switch {
+	case v.Kind() == reflect.Struct:
+		fields := fieldsOf(v.Type())
+		if err := e.EncodeArrayLen(len(fields) + len(more)); err != nil {
+			return err
+		}
+		for _, index := range fields {
+			if err := writeLater(e, v.FieldByIndex(index), more); err != nil {
+				return err
+			}
+		}
+		for _, field := range more {
+			if err := e.Encode(field); err != nil {
+				return err
+			}
+		}
+		return nil
+	case v.Kind() == reflect.Slice && v.Type().Elem().Kind() == reflect.Struct && !v.IsNil():
+		if err := e.EncodeArrayLen(v.Len()); err != nil {
+			return err
+		}
+		for i := range v.Len() {
+			if err := writeLater(e, v.Index(i), more); err != nil {
+				return err
+			}
+		}
+		return nil
+	default:
+		return e.EncodeValue(v)
+	}
+}
+
+// frameLater is the frame of a message of a future build.
+func frameLater(t rapid.TB, m Message, more []any) []byte {
+	t.Helper()
+	var body bytes.Buffer
+	e := msgpack.NewEncoder(&body)
+	e.UseCompactInts(true)
+	if err := writeLater(e, reflect.ValueOf(m).Elem(), more); err != nil {
+		t.Fatal(err)
+	}
+	return append(binary.AppendUvarint([]byte{byte(m.Kind())}, uint64(body.Len())), body.Bytes()...)
+}
+
+// TestFramesOfLaterBuilds has frames with further fields everywhere, and of kinds of the
+// future, between others: what is known is read, and the rest is passed over.
+func TestFramesOfLaterBuilds(t *testing.T) {
+	fields := rapid.OneOf(
+		rapid.Just(any(nil)), rapid.Map(rapid.Int64(), func(n int64) any { return n }),
+		rapid.Map(rapid.String(), func(s string) any { return s }), rapid.Map(rapid.SliceOf(rapid.Byte()), func(b []byte) any { return b }),
+		rapid.Map(rapid.SliceOf(rapid.Bool()), func(b []bool) any { return b }),
+		rapid.Map(rapid.MapOf(rapid.String(), rapid.Int()), func(m map[string]int) any { return m }),
+	)
+	all := golden()
+	names := slices.Sorted(maps.Keys(all))
+	rapid.Check(t, func(r *rapid.T) {
+		more := rapid.SliceOfN(fields, 0, 3).Draw(r, "more")
+		name := rapid.SampledFrom(names).Draw(r, "name")
+		code := byte(rapid.IntRange(int(kindEnd), 255).Draw(r, "kind"))
+		body := rapid.SliceOf(rapid.Byte()).Draw(r, "body")
+
+		stream := append(binary.AppendUvarint([]byte{code}, uint64(len(body))), body...)
+		stream = append(stream, frameLater(r, all[name], more)...)
+		reader := bufio.NewReader(bytes.NewReader(stream))
+		first, err := Read(reader)
+		if u, ok := first.(*Unknown); err != nil || !ok || u.Code != Kind(code) {
+			r.Fatalf("kind %d was read as %+v (%v)", code, first, err)
+		}
+		if got, err := Read(reader); err != nil || !reflect.DeepEqual(got, all[name]) {
+			r.Fatalf("%s with %d fields more: got %+v (%v)", name, len(more), got, err)
+		}
+	})
+}
+
+// TestUnreadableBody holds that a message whose body is no such message costs no connection.
+func TestUnreadableBody(t *testing.T) {
+	body, err := msgpack.Marshal("no ask")
+	if err != nil {
+		t.Fatal(err)
+	}
+	stream := append(binary.AppendUvarint([]byte{byte(KindAsk)}, uint64(len(body))), body...)
+	next, err := Append(nil, golden()["pull"], VersionNow)
+	if err != nil {
+		t.Fatal(err)
+	}
+	reader := bufio.NewReader(bytes.NewReader(append(stream, next...)))
+	first, err := Read(reader)
+	if u, ok := first.(*Unknown); err != nil || !ok || u.Err == nil || u.Code != KindAsk {
+		t.Fatalf("read %+v (%v)", first, err)
+	}
+	if got, err := Read(reader); err != nil || !reflect.DeepEqual(got, golden()["pull"]) {
+		t.Fatalf("read %+v (%v)", got, err)
+	}
+}
+
+// TestBytesByName holds that builds which read fields by position get the shorter frames, and
+// logs what it costs to speak to the others.
+func TestBytesByName(t *testing.T) {
+	positional, byName := 0, 0
+	for name, m := range golden() {
+		short, err := Append(nil, m, VersionNow)
+		if err != nil {
+			t.Fatal(err)
+		}
+		long, err := Append(nil, m, VersionNone)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Logf("%-14s %4d bytes by position, %4d by name", name, len(short), len(long))
+		positional, byName = positional+len(short), byName+len(long)
+	}
+	if positional >= byName {
+		t.Errorf("%d bytes by position, %d by name", positional, byName)
+	}
+}
+
+// TestPartOfSyncFits holds that a part of the answer to a box that starts fits into a frame of
+// each version.
+func TestPartOfSyncFits(t *testing.T) {
+	m := *golden()["member"].(*Member)
+	box := m.Message.Updates[0]
+	box.Name = strings.Repeat("n", 63)
+	m.Message.Updates = nil
+	for range member.MaxSync {
+		m.Message.Updates = append(m.Message.Updates, box)
+	}
+	for _, v := range []Version{VersionNone, VersionNow} {
+		frame, err := Append(nil, &m, v)
+		if err != nil {
+			t.Errorf("version %d: %v", v, err)
+		}
+		t.Logf("version %d: %d bytes", v, len(frame))
+	}
+}
--- a/state/member/member.go
+++ b/state/member/member.go
@@ -34,6 +34,9 @@
 
 // String gives the state's name.
 func (s State) String() string {
+	if int(s) >= len(stateNames) {
+		return "unknown"
+	}
 	return stateNames[s]
 }
 
@@ -136,6 +139,9 @@
 	// Target is the box to probe in a request.
 	Target  string
 	Updates []Box
+	// Total is how many boxes the messages of one Sync tell together; 0 is those of this
+	// message.
+	Total int
 }
 
 // MessageKind tells the messages apart.
@@ -152,6 +158,12 @@
 	Sync
 )
 
+// syncPart is how many boxes another one has told in answer to a SyncRequest.
+type syncPart struct {
+	from string
+	told int
+}
+
 // Send is a message and where it goes.
 type Send struct {
 	To string
@@ -182,6 +194,8 @@
 	synced bool
 	asked  time.Time
 	asks   int
+	// heard is what has come of the answers.
+	heard syncPart
 	// measured is the round trip of the latest probe that was answered directly.
 	measured RoundTrip
 }
@@ -325,6 +339,10 @@
 
 // merge takes in one word about a box.
 func (v *View) merge(now time.Time, b Box) {
+	if b.State > Dead {
+		// Of a later build; what it means for duties is not known here.
+		return
+	}
 	if b.Name == v.cfg.Self.Name {
 		v.mergeSelf(now, b)
 		return
--- a/state/member/protocol.go
+++ b/state/member/protocol.go
@@ -62,11 +62,36 @@
 	return []Send{v.send(others[v.random.IntN(len(others))], Message{Kind: SyncRequest})}
 }
 
+// MaxSync bounds the boxes that one message tells, so that it fits into a frame however large
+// the fleet is.
+const MaxSync = 256
+
 // sync tells another box all that this one knows first-hand or has heard.
 func (v *View) sync(to string) []Send {
-	s := v.send(to, Message{Kind: Sync})
-	s.Message.Updates = v.list(func(e *entry) bool { return e.Incarnation > 0 })
-	return []Send{s}
+	all := v.list(func(e *entry) bool { return e.Incarnation > 0 })
+	var out []Send
+	for part := range slices.Chunk(all, MaxSync) {
+		s := v.send(to, Message{Kind: Sync, Total: len(all)})
+		s.Message.Updates = part
+		out = append(out, s)
+	}
+	return out
+}
+
+// hearSync takes in a part of the answer to a SyncRequest. An answer that lacks a part is asked
+// for again, at another box.
+func (v *View) hearSync(from string, m Message) {
+	if v.heard.from != from {
+		v.heard = syncPart{from: from}
+	}
+	v.heard.told += len(m.Updates)
+	total := max(m.Total, len(m.Updates))
+	if v.heard.told < total {
+		return
+	}
+	v.heard = syncPart{}
+	// One that knows few boxes has just started itself.
+	v.synced = total*2 >= len(v.boxes) || v.asks >= maxSyncs
 }
 
 // noticePause makes a box that stood still blame itself: whatever was due
@@ -313,8 +338,7 @@
 	case SyncRequest:
 		return v.sync(from)
 	case Sync:
-		// One that knows few boxes has just started itself.
-		v.synced = len(m.Updates)*2 >= len(v.boxes) || v.asks >= maxSyncs
+		v.hearSync(from, m)
 		return nil
 	default:
 		return nil
--- a/tests/routed/site_test.go
+++ b/tests/routed/site_test.go
@@ -46,6 +46,8 @@
 	cold pace.Bound
 	// held is what boxes may hold for callers, in bytes; 0 is their own choice.
 	held int64
+	// later has the boxes hear each other as builds of the future.
+	later bool
 	// logs has what all boxes wrote.
 	logs  *journal
 	store *standin.Store
@@ -149,9 +151,10 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
+	way := s.newLaterWay()
 	b, err := box.New(setting.Box{
 		Name: name, Zone: cmp.Or(s.zones[name], "zone-a"), Regions: regions,
-		BoxListen: "127.0.0.1:0", OperatorListen: "127.0.0.1:0",
+		BoxListen: "127.0.0.1:0", BoxAdvertise: way.address(), OperatorListen: "127.0.0.1:0",
 		Platform: store, PlatformProtocol: setting.PlatformObjects, StopSeconds: 3,
 		Relay: setting.Relay{
 			Listen: "127.0.0.1:0", ReadyListen: "127.0.0.1:0",
@@ -164,6 +167,7 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
+	way.serve(b.BoxAddr())
 	ctx, stop := context.WithCancel(context.Background())
 	r := &running{Box: b, stop: stop, ended: make(chan struct{}), caller: b.RelayAddr(), ready: b.ReadyAddr()}
 	s.boxes = append(s.boxes, r)
--- a/transport/boxnet/boxnet.go
+++ b/transport/boxnet/boxnet.go
@@ -73,8 +73,10 @@
 	sent, received atomic.Uint64
 	messages       atomic.Uint64
 	// lost counts the outgoing connections that have ended.
-	lost  atomic.Uint64
-	flows flows
+	lost     atomic.Uint64
+	flows    flows
+	versions peerVersions
+	unknown  unknownCounts
 }
 
 // link is the way to one box while it is used.
@@ -200,6 +202,9 @@
 		n.cfg.Log.WithError(err).Error("box_message_bad")
 		return c
 	}
+	if len(buf) == 0 {
+		return c
+	}
 	_ = c.SetWriteDeadline(time.Now().Add(writeTimeout))
 	if _, err := c.Write(buf); err != nil {
 		n.cfg.Log.WithFields(log.Fields{"peer": l.name}).WithError(err).Debug("box_write_failed")
@@ -212,10 +217,14 @@
 	return c
 }
 
-// frame adds a message to a box to buf and counts it.
+// frame adds a message to a box to buf and counts it. What the box does not read is left out.
 func (n *Net) frame(buf []byte, to string, m boxwire.Message) ([]byte, error) {
+	version, reads := n.versions.of(to, m.Kind())
+	if !reads {
+		return buf, nil
+	}
 	before := len(buf)
-	buf, err := boxwire.Append(buf, m)
+	buf, err := boxwire.Append(buf, m, version)
 	if err == nil {
 		n.flows.add(m.Kind(), n.distanceTo(to), len(buf)-before)
 	}
@@ -227,7 +236,8 @@
 // other process had ended would be lost without an error.
 type out struct {
 	net.Conn
-	ended atomic.Bool
+	// ended says that the connection has ended, closed that this box ended it.
+	ended, closed atomic.Bool
 }
 
 // watch notes the connection's end.
@@ -239,6 +249,7 @@
 
 func closeOut(o *out) {
 	if o != nil {
+		o.closed.Store(true)
 		_ = o.Close()
 	}
 }
@@ -265,6 +276,10 @@
 	go func() {
 		o.watch()
 		n.lost.Add(1)
+		if !o.closed.Load() {
+			// The process there may be followed by one of another build.
+			n.versions.forget(l.name)
+		}
 	}()
 	return o, nil
 }
@@ -354,6 +369,7 @@
 	}
 	from = hello.Box
 	sender := boxwire.Owner{Box: hello.Box, Incarnation: hello.Incarnation}
+	n.versions.greeted(hello)
 	for {
 		_ = c.SetReadDeadline(time.Now().Add(readPatience))
 		m, err := boxwire.Read(r)
@@ -361,6 +377,11 @@
 			return
 		}
 		heard = time.Now()
+		if u, ok := m.(*boxwire.Unknown); ok {
+			n.passOver(sender, u)
+			continue
+		}
+		n.versions.heard(sender, m.Kind())
 		n.cfg.Handler(sender, m)
 	}
 }
--- a/transport/boxnet/hello.go
+++ b/transport/boxnet/hello.go
@@ -14,9 +14,10 @@
 // hello is the frame that opens a connection to a box. The proof covers both
 // names, so that a greeting to one box opens nothing at another.
 func (n *Net) hello(to string) ([]byte, error) {
-	m := &boxwire.Hello{Box: n.cfg.Box, Incarnation: n.cfg.Incarnation}
+	m := &boxwire.Hello{Box: n.cfg.Box, Incarnation: n.cfg.Incarnation, Version: boxwire.VersionNow}
 	m.Proof = n.proof(m, to)
-	return boxwire.Append(nil, m)
+	// Which build is there now shows only in its own greeting.
+	return boxwire.Append(nil, m, boxwire.VersionNone)
 }
 
 func (n *Net) proof(m *boxwire.Hello, to string) []byte {
--- a/transport/boxnet/traffic_test.go
+++ b/transport/boxnet/traffic_test.go
@@ -31,7 +31,7 @@
 	a.Send("b", &boxwire.Pull{Have: 2})
 	<-other.got
 	<-other.got
-	frame, err := boxwire.Append(nil, &boxwire.Pull{Have: 1})
+	frame, err := boxwire.Append(nil, &boxwire.Pull{Have: 1}, boxwire.VersionNone)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/transport/operatorhttp/operatorhttp.go
+++ b/transport/operatorhttp/operatorhttp.go
@@ -28,10 +28,17 @@
 
 // Status is what a box says of itself.
 type Status struct {
-	Box         string `json:"box"`
-	Zone        string `json:"zone"`
-	Incarnation uint64 `json:"incarnation"`
-	Ready       bool   `json:"ready"`
+	Box string `json:"box"`
+	// Build is the release that runs, and Wire the version of the messages that it reads.
+	Build string `json:"build"`
+	Wire  uint16 `json:"wire"`
+	// Peers count the boxes that have greeted this one by the version that they read, and
+	// Unknown the messages that this build did not know or could not read, by kind.
+	Peers       map[uint16]int    `json:"peers,omitempty"`
+	Unknown     map[string]uint64 `json:"unknown,omitempty"`
+	Zone        string            `json:"zone"`
+	Incarnation uint64            `json:"incarnation"`
+	Ready       bool              `json:"ready"`
 	// Generation is the table in force, since when, and how long ago the
 	// platform was last heard by this box; -1 is never.
 	Generation      uint64    `json:"generation"`
