Duties without work do not wake

Cause: a box woke 440 to 510 times a second at any size and load; the home's duty ticked each 5 ms, that of repeats each 50 ms and that of poison requests each 200 ms, whether there was anything to look at or not, and each wake has the runtime's own watcher wake too. In a fleet where a box has 0.3 requests a second that is most of its processor time.

Change: the home's duty ticks each 5 ms only while a request waits, each 200 ms else; the others look only while something is pending. TestIdleHome counts the wakes in simulated time: 400 in 2 s before, 10 now.

--- a/coordination/dedup/keeper.go
+++ b/coordination/dedup/keeper.go
@@ -163,9 +163,12 @@
 // Run is the duty. It ends with the context.
 func (k *Keeper) Run(ctx context.Context) error {
 	k.store.SetBoxes(time.Now(), []string{k.cfg.Self})
-	look := time.NewTicker(lookEvery)
-	defer look.Stop()
+	// Without a claim that waits there is nothing to look at.
+	var look <-chan time.Time
 	for {
+		if look == nil && len(k.pending) > 0 {
+			look = time.After(lookEvery)
+		}
 		select {
 		case <-ctx.Done():
 			return nil
@@ -173,7 +176,8 @@
 			k.store.Distrust(time.Now())
 		case in := <-k.queue.C():
 			k.take(time.Now(), in)
-		case now := <-look.C:
+		case now := <-look:
+			look = nil
 			k.giveUp(now)
 		}
 	}
--- a/coordination/home/cold.go
+++ b/coordination/home/cold.go
@@ -64,7 +64,7 @@
 }
 
 // stillFor is after how long without a step the duty must have stood still: it ticks
-// every 5 ms. Another box takes this one for dead after some 2.2 s.
+// every idleEvery at least. Another box takes this one for dead after some 2.2 s.
 const stillFor = 500 * time.Millisecond
 
 // noteRuns takes in that the duty runs.
--- a/coordination/home/home.go
+++ b/coordination/home/home.go
@@ -116,8 +116,11 @@
 }
 
 const (
-	// tickEvery is how often waiting requests are looked at again.
+	// tickEvery is how often waiting requests are looked at again, and idleEvery how
+	// often the duty wakes while none waits: most boxes of a large fleet are idle, and
+	// a wake-up costs as much there as here.
 	tickEvery = 5 * time.Millisecond
+	idleEvery = 200 * time.Millisecond
 	// checkEvery is how often boxes are asked about old grants: a report that was
 	// lost must not keep a slot forever. Those of model requests are old at
 	// oldGrant, longer than most answers take; those of plain ones at oldPlain,
@@ -223,9 +226,14 @@
 
 // Run is the duty. It ends with the context.
 func (h *Homes) Run(ctx context.Context) error {
-	tick := time.NewTicker(tickEvery)
+	every := idleEvery
+	tick := time.NewTicker(every)
 	defer tick.Stop()
 	for {
+		if next := h.tickIn(); next != every {
+			every = next
+			tick.Reset(every)
+		}
 		select {
 		case <-ctx.Done():
 			return nil
@@ -245,6 +253,16 @@
 	}
 }
 
+// tickIn is after how long the duty looks again by itself.
+func (h *Homes) tickIn() time.Duration {
+	for _, g := range h.groups {
+		if g.Waiting() > 0 {
+			return tickEvery
+		}
+	}
+	return idleEvery
+}
+
 // takeGroups puts groups that wait into force: they were set before the command that
 // comes next was handed over, or while it waited. By chance it came first else, and the
 // first requests after a start were refused for want of endpoints.
--- a/coordination/home/home_test.go
+++ b/coordination/home/home_test.go
@@ -228,3 +228,52 @@
 		})
 	}
 }
+
+// TestIdleHome holds that a home which nobody waits for hardly wakes, and that one which
+// somebody waits for looks often from then on.
+func TestIdleHome(t *testing.T) {
+	routed := table.Table{Generation: 1, Services: []table.Service{{Name: "s", Kind: table.KindRouted}}}
+	one := directory.Directory{}.WithList(time.Now(), 5, []directory.Entry{{ID: "e", Service: "s", Slots: 1}})
+	// The first ask gets the endpoint, the second one goes on at an endpoint and waits.
+	ask := func(sequence uint64) Command {
+		id := lifecycle.AttemptID{Request: lifecycle.RequestID{Box: "b", Incarnation: 7, Sequence: sequence}, Number: 1}
+		return Command{From: "b", Group: "s", Body: schedule.Ask{ID: id, Box: "b", Deadline: time.Second, Resume: sequence > 1}}
+	}
+	synctest.Test(t, func(t *testing.T) {
+		h := New(Config{Self: "self", Answers: answers{}, Log: log.Discard()})
+		h.configure(group.New(routed, one))
+		ctx, end := context.WithCancel(t.Context())
+		go func() { _ = h.Run(ctx) }()
+		// wakes says how often the duty wakes by itself in a while.
+		wakes := func(looks int) int {
+			seen := 0
+			last := h.cold.ran
+			for range looks {
+				time.Sleep(tickEvery)
+				synctest.Wait()
+				if h.cold.ran != last {
+					seen++
+					last = h.cold.ran
+				}
+			}
+			return seen
+		}
+		const looks = int(2 * time.Second / tickEvery)
+		idle := looks * int(tickEvery) / int(idleEvery)
+		if got := wakes(looks); got > idle {
+			t.Errorf("woke %d times while nobody waited, want %d", got, idle)
+		}
+		h.Offer(ask(1))
+		synctest.Wait()
+		if got := wakes(looks); got > idle {
+			t.Errorf("woke %d times while a request ran, want %d", got, idle)
+		}
+		h.Offer(ask(2))
+		synctest.Wait()
+		if got := wakes(looks); got < looks-1 {
+			t.Errorf("woke %d times while a request waited, want %d", got, looks)
+		}
+		end()
+		synctest.Wait()
+	})
+}
--- a/coordination/quarantine/quarantine.go
+++ b/coordination/quarantine/quarantine.go
@@ -159,10 +159,14 @@
 
 // Run finds out which endpoints have ended until the context ends.
 func (k *Keeper) Run(ctx context.Context) error {
-	looks, ages := time.NewTicker(look), time.NewTicker(forget)
-	defer looks.Stop()
+	ages := time.NewTicker(forget)
 	defer ages.Stop()
+	// Without an endpoint in doubt there is nothing to look at.
+	var looks <-chan time.Time
 	for {
+		if looks == nil && len(k.checks) > 0 {
+			looks = time.After(look)
+		}
 		select {
 		case <-ctx.Done():
 			return nil
@@ -170,9 +174,13 @@
 			k.doubt(ctx, l)
 		case p := <-k.probed:
 			k.takeProbe(p)
-		case <-looks.C:
+		case <-looks:
+			looks = nil
 			k.settle()
 		case <-ages.C:
+			if !k.any() {
+				continue
+			}
 			k.learn("age", func(now time.Time, l poison.Ledger) (poison.Ledger, []poison.Suspect) {
 				return l.Without(now), nil
 			})
