--- a/coordination/home/home_test.go
+++ b/coordination/home/home_test.go
@@ -246,8 +246,8 @@
 		go func() { _ = h.Run(ctx) }()
 		// wakes says how often the duty wakes by itself in a while.
 		wakes := func(looks int) int {
-			seen := 0
-			last := h.cold.ran
+			synctest.Wait()
+			seen, last := 0, h.cold.ran
 			for range looks {
 				time.Sleep(tickEvery)
 				synctest.Wait()
