A box that starts asks others until nothing is new, and told boxes are not told on

Cause: where a fleet starts at once, a box asked one other for all it knew and was content; the rest came by updates on probes, each passed on 33 times (986 boxes) by each box at 64 a second: of 300 boxes, 56 pairs did not know each other after 36 s, and each box sent 68 updates a second all the while. It grows with the fleet times its logarithm for each box, and with the square in all.

Change: a box asks again, each period, until an answer brings under 5 % new; later five more times, doubling, with a digest: who knows the same says nothing. What came so is not passed on, and hearing a live box told of again counts as three tellings.

The version of messages that a box reads is told by membership and stands on the platform's list: a fleet that starts knows it of each other.

--- a/box/assemble.go
+++ b/box/assemble.go
@@ -139,7 +139,7 @@
 		View: member.Config{
 			Self: member.Box{
 				Name: s.Name, Address: b.advertised(), Zone: s.Zone,
-				Start: o.Incarnation, Incarnation: o.Incarnation,
+				Start: o.Incarnation, Incarnation: o.Incarnation, Wire: uint16(boxwire.VersionNow),
 			},
 			Regions: b.regions,
 			Period:  o.ProbePeriod,
--- a/box/routed.go
+++ b/box/routed.go
@@ -24,6 +24,7 @@
 	"runridge.example/runridge/coordination/stages"
 	"runridge.example/runridge/modules/ring"
 	"runridge.example/runridge/modules/setting"
+	"runridge.example/runridge/protocol/boxwire"
 	"runridge.example/runridge/protocol/callerapi"
 	"runridge.example/runridge/protocol/relayapi"
 	"runridge.example/runridge/state/directory"
@@ -152,7 +153,9 @@
 		Log:          b.options.Log,
 	})
 	r.registry = registry.New(registry.Config{
-		Self:     adapter.Box{Name: b.settings.Name, Address: b.advertised(), Zone: b.settings.Zone},
+		Self: adapter.Box{
+			Name: b.settings.Name, Address: b.advertised(), Zone: b.settings.Zone, Wire: uint16(boxwire.VersionNow),
+		},
 		Platform: r.platform,
 		Members:  b.members.Snapshot,
 		Ranked:   b.router.Ranked,
--- a/box/run.go
+++ b/box/run.go
@@ -14,8 +14,10 @@
 	members "runridge.example/runridge/coordination/member"
 	"runridge.example/runridge/modules/log"
 	"runridge.example/runridge/modules/sleep"
+	"runridge.example/runridge/protocol/boxwire"
 	"runridge.example/runridge/state/member"
 	"runridge.example/runridge/state/rank"
+	"runridge.example/runridge/transport/boxnet"
 	"runridge.example/runridge/transport/operatorhttp"
 )
 
@@ -128,7 +130,7 @@
 // membersChanged puts a changed view into force: who has duties, and where
 // each box is.
 func (b *Box) membersChanged(s members.Snapshot) {
-	addresses := make(map[string]string, len(s.All))
+	peers := make(map[string]boxnet.Peer, len(s.All))
 	zones := make(map[string]string, len(s.All))
 	lost := home.Lost{Starts: make(map[string]uint64)}
 	for _, other := range s.All {
@@ -137,7 +139,9 @@
 		if other.Name != b.settings.Name {
 			// The dead are still sent probes, so that both sides of a cut
 			// find each other afterwards.
-			addresses[other.Name] = other.Address
+			peers[other.Name] = boxnet.Peer{
+				Address: other.Address, Start: other.Start, Version: boxwire.Version(other.Wire),
+			}
 		}
 		if other.State == member.Dead {
 			lost.Dead = append(lost.Dead, other.Name)
@@ -149,7 +153,7 @@
 	}
 	b.zones.Store(&zones)
 	b.spreadTo(s.Duty)
-	b.net.SetPeers(addresses)
+	b.net.SetPeers(peers)
 	b.router.SetLive(
 		rank.Of(live).In(zones, b.regions),
 		rank.Of(member.Established(s.Duty)).In(zones, b.regions),
--- a/cmd/runridge-bench/main.go
+++ b/cmd/runridge-bench/main.go
@@ -18,5 +18,6 @@
 	addLatency(parser)
 	addSoak(parser)
 	addSlopes(parser)
+	addFleet(parser)
 	os.Exit(command.Run(parser, nil))
 }
--- a/coordination/adapter/adapter.go
+++ b/coordination/adapter/adapter.go
@@ -160,6 +160,8 @@
 	Address string
 	Zone    string
 	Leaving bool
+	// Wire is the version of messages that the box reads; 0 is not told.
+	Wire uint16
 	// Version is that of the entry; it changes with each write.
 	Version uint64
 }
--- a/coordination/member/member.go
+++ b/coordination/member/member.go
@@ -242,7 +242,7 @@
 		if b.Name == m.cfg.View.Self.Name {
 			continue
 		}
-		view.Introduce(now, member.Box{Name: b.Name, Address: b.Address, Zone: b.Zone})
+		view.Introduce(now, member.Box{Name: b.Name, Address: b.Address, Zone: b.Zone, Wire: b.Wire})
 	}
 	// What was gathered from the list alone goes out with the next change;
 	// the names are kept current here.
--- a/coordination/registry/registry.go
+++ b/coordination/registry/registry.go
@@ -98,7 +98,7 @@
 	for waited := time.Duration(0); waited < firstList && ctx.Err() == nil; waited += listLook {
 		if listed := k.cfg.Members().Listed; listed != nil {
 			entry, found := listed[k.cfg.Self.Name]
-			return found && entry.Address == k.cfg.Self.Address && entry.Zone == k.cfg.Self.Zone
+			return found && entry.Address == k.cfg.Self.Address && entry.Zone == k.cfg.Self.Zone && entry.Wire == k.cfg.Self.Wire
 		}
 		sleep.For(ctx, listLook)
 	}
--- a/protocol/boxwire/version_test.go
+++ b/protocol/boxwire/version_test.go
@@ -41,6 +41,8 @@
 	hello.Version = VersionNow
 	m := *all["member"].(*Member)
 	m.Suspects = 11
+	m.Message.Total = 3
+	m.Message.Updates = []member.Box{{Name: "d", Wire: uint16(VersionNow)}}
 	update := withChanges(all["update"].(*Update), 1)
 	update.Update.Changes[0].Entry.Born = 1_800_000_000_125
 	return map[string]Message{"hello": &hello, "member": &m, "update": update}
--- a/state/member/member.go
+++ b/state/member/member.go
@@ -51,6 +51,9 @@
 	// one clears a suspicion.
 	Incarnation uint64
 	State       State
+	// Wire is the version of messages that this process reads, as it says itself; 0 is not
+	// said.
+	Wire uint16
 }
 
 // Config sets the protocol's times.
@@ -142,6 +145,9 @@
 	// Total is how many boxes the messages of one Sync tell together; 0 is those of this
 	// message.
 	Total int
+	// Digest, with a SyncRequest, stands for all that its sender knows; 0 is not said. Who
+	// knows the same does not answer.
+	Digest uint64
 }
 
 // MessageKind tells the messages apart.
@@ -158,12 +164,6 @@
 	Sync
 )
 
-// syncPart is how many boxes another one has told in answer to a SyncRequest.
-type syncPart struct {
-	from string
-	told int
-}
-
 // Send is a message and where it goes.
 type Send struct {
 	To string
@@ -189,13 +189,8 @@
 	leaving  bool
 	// denied tells that others thought this box dead.
 	denied bool
-	// synced is true once another box has told all that it knows; asked is when
-	// one was last asked to, and asks how often.
-	synced bool
-	asked  time.Time
-	asks   int
-	// heard is what has come of the answers.
-	heard syncPart
+	// syncing asks others for all that they know, after a start.
+	syncing syncing
 	// measured is the round trip of the latest probe that was answered directly.
 	measured RoundTrip
 }
@@ -356,6 +351,10 @@
 	newer := b.Incarnation > e.Incarnation
 	stronger := b.Incarnation == e.Incarnation && b.State > e.State
 	if !newer && !stronger {
+		if b.Incarnation == e.Incarnation && b.State == Live && e.State == Live && e.told < untold {
+			// Whoever told it knows it, and so do those whom that box has told.
+			e.told += heardAgain
+		}
 		return
 	}
 	// A box that clears a suspicion raises its incarnation and is the same process
@@ -372,8 +371,13 @@
 	}
 }
 
-// untold is a count of tellings that nothing reaches.
-const untold = 1 << 30
+const (
+	// untold is a count of tellings that nothing reaches.
+	untold = 1 << 30
+	// heardAgain is for how many tellings it counts that a live box is told of by another:
+	// where a whole fleet starts, all would tell all others of all.
+	heardAgain = 3
+)
 
 // mergeSelf answers a wrong word about this box with a higher incarnation.
 func (v *View) mergeSelf(now time.Time, b Box) {
--- a/state/member/member_test.go
+++ b/state/member/member_test.go
@@ -32,6 +32,8 @@
 	views  map[string]*View
 	down   map[string]bool
 	paused map[string]bool
+	// carried counts the updates on all messages.
+	carried int
 	// lose drops a message; nil loses none.
 	lose func(from, to string) bool
 	// held is what came for a paused box.
@@ -94,6 +96,7 @@
 
 func (w *net) send(from string, out []Send) {
 	for _, s := range out {
+		w.carried += len(s.Message.Updates)
 		if w.lose != nil && w.lose(from, s.To) || w.down[s.To] {
 			continue
 		}
--- a/state/member/protocol.go
+++ b/state/member/protocol.go
@@ -20,9 +20,6 @@
 	distrustPeriods = 2
 	// maxRelays bounds the indirect probes remembered.
 	maxRelays = 256
-	// maxSyncs is after how many questions the answer of a box that knows few
-	// others does.
-	maxSyncs = 4
 )
 
 // Tick moves the protocol on; it is called a few times a period.
@@ -45,55 +42,6 @@
 	return out
 }
 
-// requestSync asks one other box for all that it knows, and another one after
-// a timeout, until one has answered. Without it a box that starts would hear
-// of the others one probe at a time, and give duties to other boxes than they
-// do meanwhile.
-func (v *View) requestSync(now time.Time) []Send {
-	if v.synced || now.Sub(v.asked) < v.cfg.Timeout {
-		return nil
-	}
-	others := v.nearFirst(v.Duty(), 1)
-	if len(others) == 0 {
-		return nil
-	}
-	v.asked = now
-	v.asks++
-	return []Send{v.send(others[v.random.IntN(len(others))], Message{Kind: SyncRequest})}
-}
-
-// MaxSync bounds the boxes that one message tells, so that it fits into a frame however large
-// the fleet is.
-const MaxSync = 256
-
-// sync tells another box all that this one knows first-hand or has heard.
-func (v *View) sync(to string) []Send {
-	all := v.list(func(e *entry) bool { return e.Incarnation > 0 })
-	var out []Send
-	for part := range slices.Chunk(all, MaxSync) {
-		s := v.send(to, Message{Kind: Sync, Total: len(all)})
-		s.Message.Updates = part
-		out = append(out, s)
-	}
-	return out
-}
-
-// hearSync takes in a part of the answer to a SyncRequest. An answer that lacks a part is asked
-// for again, at another box.
-func (v *View) hearSync(from string, m Message) {
-	if v.heard.from != from {
-		v.heard = syncPart{from: from}
-	}
-	v.heard.told += len(m.Updates)
-	total := max(m.Total, len(m.Updates))
-	if v.heard.told < total {
-		return
-	}
-	v.heard = syncPart{}
-	// One that knows few boxes has just started itself.
-	v.synced = total*2 >= len(v.boxes) || v.asks >= maxSyncs
-}
-
 // noticePause makes a box that stood still blame itself: whatever was due
 // meanwhile proves nothing about the others.
 func (v *View) noticePause(now time.Time) {
@@ -325,6 +273,10 @@
 
 // Receive takes a message from a box and returns what to answer.
 func (v *View) Receive(now time.Time, from string, m Message) []Send {
+	if m.Kind == Sync {
+		v.hearSync(now, from, m)
+		return nil
+	}
 	for _, b := range m.Updates {
 		v.merge(now, b)
 	}
@@ -336,10 +288,7 @@
 	case Ack:
 		return v.acked(now, from, m)
 	case SyncRequest:
-		return v.sync(from)
-	case Sync:
-		v.hearSync(from, m)
-		return nil
+		return v.sync(from, m.Digest)
 	default:
 		return nil
 	}
--- a/transport/boxnet/boxnet.go
+++ b/transport/boxnet/boxnet.go
@@ -62,13 +62,13 @@
 
 // Net is a box's connections to the others.
 type Net struct {
-	cfg       Config
-	mutex     sync.Mutex
-	ctx       context.Context
-	addresses map[string]string
-	links     map[string]*link
-	conns     map[net.Conn]struct{}
-	ended     bool
+	cfg   Config
+	mutex sync.Mutex
+	ctx   context.Context
+	peers map[string]Peer
+	links map[string]*link
+	conns map[net.Conn]struct{}
+	ended bool
 
 	sent, received atomic.Uint64
 	messages       atomic.Uint64
@@ -94,11 +94,11 @@
 		cfg.QueueSize = defaultQueue
 	}
 	return &Net{
-		cfg:       cfg,
-		ctx:       ctx,
-		addresses: make(map[string]string),
-		links:     make(map[string]*link),
-		conns:     make(map[net.Conn]struct{}),
+		cfg:   cfg,
+		ctx:   ctx,
+		peers: make(map[string]Peer),
+		links: make(map[string]*link),
+		conns: make(map[net.Conn]struct{}),
 	}
 }
 
@@ -108,14 +108,14 @@
 	return n.sent.Load(), n.received.Load(), n.messages.Load()
 }
 
-// SetPeers replaces the addresses by box name. Links to boxes that are gone or
+// SetPeers replaces the other boxes by name. Links to boxes that are gone or
 // have moved are dropped.
-func (n *Net) SetPeers(addresses map[string]string) {
+func (n *Net) SetPeers(peers map[string]Peer) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	n.addresses = addresses
+	n.peers = peers
 	for name, l := range n.links {
-		if addresses[name] != l.address {
+		if peers[name].Address != l.address {
 			l.cancel()
 			delete(n.links, name)
 		}
@@ -126,7 +126,7 @@
 func (n *Net) Send(box string, m boxwire.Message) ring.Outcome {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	address := n.addresses[box]
+	address := n.peers[box].Address
 	if address == "" || n.ended {
 		return ring.Full
 	}
@@ -219,7 +219,7 @@
 
 // frame adds a message to a box to buf and counts it. What the box does not read is left out.
 func (n *Net) frame(buf []byte, to string, m boxwire.Message) ([]byte, error) {
-	version, reads := n.versions.of(to, m.Kind())
+	version, reads := n.versions.of(to, n.told(to), m.Kind())
 	if !reads {
 		return buf, nil
 	}
@@ -278,7 +278,7 @@
 		n.lost.Add(1)
 		if !o.closed.Load() {
 			// The process there may be followed by one of another build.
-			n.versions.forget(l.name)
+			n.forget(l.name)
 		}
 	}()
 	return o, nil
@@ -409,5 +409,5 @@
 func (n *Net) Address(box string) string {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	return n.addresses[box]
+	return n.peers[box].Address
 }
--- a/transport/boxnet/refused.go
+++ b/transport/boxnet/refused.go
@@ -24,7 +24,7 @@
 // dialFailed tells of a box whose process is gone.
 func (n *Net) dialFailed(box string, err error) {
 	n.cfg.Log.WithFields(log.Fields{"peer": box}).WithError(err).Debug("box_dial_failed")
-	n.versions.forget(box)
+	n.forget(box)
 	if n.cfg.OnRefused != nil && errors.Is(err, syscall.ECONNREFUSED) {
 		n.cfg.OnRefused(box)
 	}
@@ -32,9 +32,9 @@
 
 // suspect looks at once whether a box whose connection broke is still there.
 func (n *Net) suspect(box string) {
-	n.versions.forget(box)
+	n.forget(box)
 	n.mutex.Lock()
-	address, ended := n.addresses[box], n.ended
+	address, ended := n.peers[box].Address, n.ended
 	n.mutex.Unlock()
 	if address == "" || ended || n.cfg.OnRefused == nil {
 		return
--- a/transport/boxnet/versions.go
+++ b/transport/boxnet/versions.go
@@ -13,6 +13,15 @@
 	"runridge.example/runridge/protocol/boxwire"
 )
 
+// Peer is another box as membership knows it.
+type Peer struct {
+	Address string
+	// Start is the incarnation of its process, and Version what that reads, as it says
+	// itself; 0 is not known for both.
+	Start   uint64
+	Version boxwire.Version
+}
+
 // peer is what is known of how one process of a box reads.
 type peer struct {
 	incarnation uint64
@@ -23,8 +32,8 @@
 	logged bool
 }
 
-// peerVersions knows what the other boxes read, from their greetings. A box that has not
-// greeted yet is taken for one whose build tells no version.
+// peerVersions knows what the other boxes read, from their greetings or what they have
+// membership tell. A box of which neither is known is taken for one whose build tells no version.
 type peerVersions struct {
 	mutex sync.Mutex
 	peers map[string]*peer
@@ -46,11 +55,19 @@
 	known.version = m.Version
 }
 
-// forget drops what is known of a box whose process may have ended.
-func (p *peerVersions) forget(box string) {
+// forget drops what is known of a box whose process may have ended, and what membership has
+// told of that process: one of an older build may have its place.
+func (p *peerVersions) forget(box string, told Peer) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	delete(p.peers, box)
+	if p.peers == nil {
+		p.peers = make(map[string]*peer)
+	}
+	start := told.Start
+	if known := p.peers[box]; known != nil {
+		start = max(start, known.incarnation)
+	}
+	p.peers[box] = &peer{incarnation: start}
 }
 
 // heard notes that a box has sent a kind: it reads what it sends.
@@ -67,13 +84,14 @@
 	known.reads[k] = true
 }
 
-// of is the version of a box, and whether it reads a kind.
-func (p *peerVersions) of(box string, k boxwire.Kind) (v boxwire.Version, reads bool) {
+// of is the version of a box, and whether it reads a kind. What it has told itself goes before
+// what membership tells of the same process.
+func (p *peerVersions) of(box string, told Peer, k boxwire.Kind) (v boxwire.Version, reads bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	known := p.peers[box]
-	if known == nil {
-		return boxwire.VersionNone, boxwire.VersionNone.Reads(k)
+	if known == nil || known.incarnation < told.Start {
+		return told.Version, told.Version.Reads(k)
 	}
 	return known.version, known.version.Reads(k) || known.reads[k]
 }
@@ -132,3 +150,13 @@
 		"peer": from.Box, "peer_incarnation": from.Incarnation, "kind": uint8(m.Code), "name": m.Code.String(),
 	}).WithError(m.Err).Warn("box_message_unknown")
 }
+
+// told is what membership tells of a box.
+func (n *Net) told(box string) Peer {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.peers[box]
+}
+
+// forget drops what is known of how a box reads.
+func (n *Net) forget(box string) { n.versions.forget(box, n.told(box)) }
