Updates cross into a zone a few times, not once for each box

Cause: the tree in which updates of endpoints, changes of the table, drained zones and suspects go round knew regions and no zones; in one region of five zones four of five ways cross from one to another, and bytes between zones are the dearest price of the whole fleet.

Change: the boxes of a zone stand one after the other in the tree, from the root down and branch by branch. Who reads the platform is chosen as before, so that readers stand in any zone. While a box of an earlier build is live all draw the tree that it knows.

--- a/box/assemble.go
+++ b/box/assemble.go
@@ -72,6 +72,7 @@
 		Platform:    b.platform,
 		Peers:       others,
 		Ranked:      b.nearRanked,
+		Tree:        b.tree,
 		Settle:      b.settle(),
 		FirstAtOnce: b.routed != nil,
 		Reads:       b.tableReads(),
--- a/box/drain.go
+++ b/box/drain.go
@@ -16,6 +16,7 @@
 		Source:   b.routed.platform,
 		Peers:    b.others,
 		Ranked:   b.nearRanked,
+		Tree:     b.tree,
 		Heads:    b.heads,
 		Reads:    b.routed.discoverer.Reading,
 		OnChange: b.setDrained,
--- a/box/quarantine.go
+++ b/box/quarantine.go
@@ -21,6 +21,7 @@
 		Find:    b.findEndpoint,
 		Peers:   b.others,
 		Ranked:  b.nearRanked,
+		Tree:    b.tree,
 		Heads:   b.heads,
 		Metrics: b.metrics,
 		Log:     b.options.Log,
--- a/box/regions.go
+++ b/box/regions.go
@@ -41,6 +41,9 @@
 // nearRanked lists the boxes of this box's region in their order for a key.
 func (b *Box) nearRanked(key string) []string { return b.spread.Load().Near(key) }
 
+// tree orders those boxes for the tree in which what an origin tells goes round.
+func (b *Box) tree(key, origin string) []string { return b.spread.Load().Tree(key, origin) }
+
 // readers is how many boxes of a region read the platform for it.
 func (b *Box) readers() int {
 	if b.regions.Several() {
--- a/box/routed.go
+++ b/box/routed.go
@@ -106,6 +106,7 @@
 		Self:     b.settings.Name,
 		Peers:    b.others,
 		Ranked:   b.nearRanked,
+		Tree:     b.tree,
 		Heads:    b.heads,
 		Readers:  b.readers(),
 		Listed:   b.listed,
--- a/coordination/discover/share.go
+++ b/coordination/discover/share.go
@@ -23,8 +23,6 @@
 }
 
 const (
-	// fanout is how many boxes one passes an update on to.
-	fanout = 8
 	// rankKey orders the boxes for who reads the platform.
 	rankKey = "endpoints"
 	// forgetUpdates is how long the number of a box's last update is remembered: long
@@ -166,8 +164,7 @@
 // the origin or the box that took the update in for the region. So no box sends to
 // more than a few.
 func (d *Discoverer) pass(n directory.Update) {
-	order := d.cfg.Ranked(treeKey(n.Origin))
-	to := spread.Children(order, d.cfg.Self, n.Origin, fanout)
+	to := spread.Below(spread.Draw(d.cfg.Tree, d.cfg.Ranked, treeKey(n.Origin), n.Origin), d.cfg.Self)
 	if len(to) == 0 {
 		return
 	}
--- a/coordination/discover/start.go
+++ b/coordination/discover/start.go
@@ -58,7 +58,7 @@
 	if place.Boxes < largeFleet || place.Rank < 0 || place.Reader() {
 		return false
 	}
-	above := spread.Above(order, d.cfg.Self, fanout)
+	above := spread.Above(spread.Draw(d.cfg.Tree, d.cfg.Ranked, rankKey, ""), d.cfg.Self)
 	bound := listWait + min(time.Duration(place.Rank)*listStep, longestStep)
 	for i := 0; !d.Directory().Known() && time.Since(begun) < bound && ctx.Err() == nil; i++ {
 		d.cfg.Peers.SendUpdatePull(above[i%len(above)], 0)
--- a/coordination/drain/drain.go
+++ b/coordination/drain/drain.go
@@ -47,6 +47,9 @@
 	// Ranked lists the boxes with duties of this box's region in an order that all
 	// of them agree on for a key.
 	Ranked func(key string) []string
+	// Tree orders them for the tree in which what an origin tells goes round; nil is by
+	// Ranked.
+	Tree func(key, origin string) []string
 	// Heads names the box of each other region that takes updates in for it, in the
 	// same order for a key; nil is none.
 	Heads func(key string) []string
@@ -76,8 +79,6 @@
 	startPatience = 2 * time.Second
 	// pullPause keeps one lag from being asked about with every message.
 	pullPause = 500 * time.Millisecond
-	// fanout is how many boxes one passes an update on to.
-	fanout = 8
 	// rankKey orders the boxes for how an update goes round.
 	rankKey = "drained"
 )
--- a/coordination/drain/share.go
+++ b/coordination/drain/share.go
@@ -33,8 +33,7 @@
 // pass sends an update to this box's children in its region's tree, whose root is the
 // origin or the box that takes the update in for the region.
 func (k *Keeper) pass(u drain.Update) {
-	order := k.cfg.Ranked(treeKey(u.Origin))
-	for _, box := range spread.Children(order, k.cfg.Self, u.Origin, fanout) {
+	for _, box := range spread.Below(spread.Draw(k.cfg.Tree, k.cfg.Ranked, treeKey(u.Origin), u.Origin), k.cfg.Self) {
 		k.cfg.Peers.SendDrained(box, u)
 	}
 }
--- a/coordination/follow/follow.go
+++ b/coordination/follow/follow.go
@@ -47,6 +47,9 @@
 	// Ranked lists the boxes with duties of this box's region in an order that all
 	// of them agree on for a key.
 	Ranked func(key string) []string
+	// Tree orders them for the tree in which what an origin tells goes round; nil is by
+	// Ranked.
+	Tree func(key, origin string) []string
 	// Wait bounds one watch.
 	Wait time.Duration
 	// Reads says whether this box reads the platform itself once it has a table;
@@ -70,8 +73,6 @@
 	longestPause  = 2 * time.Second
 	// watchLook is how often a box looks whether it has become one of them.
 	watchLook = 200 * time.Millisecond
-	// fanout is how many boxes one passes a change on to.
-	fanout = 8
 	// history is how many tables are kept to make changes from.
 	history = 8
 	// pullPause keeps one lag from being asked about with every message, and
--- a/coordination/follow/pass.go
+++ b/coordination/follow/pass.go
@@ -18,7 +18,7 @@
 // anew for each generation, so that no box carries all changes, and its root
 // gets the change from whoever watches the platform.
 func (f *Follower) pass(change table.Delta) {
-	order := f.cfg.Ranked(fmt.Sprintf("table@%d", change.Generation))
+	order := spread.Draw(f.cfg.Tree, f.cfg.Ranked, fmt.Sprintf("table@%d", change.Generation), "")
 	at := slices.Index(order, f.cfg.Self)
 	if at < 0 {
 		return
@@ -27,7 +27,7 @@
 	if at > 0 && f.watching() {
 		to = append(to, order[0])
 	}
-	to = append(to, spread.Below(order, f.cfg.Self, fanout)...)
+	to = append(to, spread.Below(order, f.cfg.Self)...)
 	if len(to) > 0 {
 		f.cfg.Peers.SendChange(change, to...)
 	}
--- a/coordination/quarantine/share.go
+++ b/coordination/quarantine/share.go
@@ -12,8 +12,6 @@
 )
 
 const (
-	// fanout is how many boxes one passes an update on to.
-	fanout = 8
 	// rankKey orders the boxes for how an update goes round.
 	rankKey = "suspects"
 	// pullPause keeps one lag from being asked about with every message.
@@ -39,8 +37,7 @@
 
 // pass sends an update to this box's children in its region's tree.
 func (k *Keeper) pass(u poison.Update) {
-	order := k.cfg.Ranked(treeKey(u.Origin))
-	for _, box := range spread.Children(order, k.cfg.Self, u.Origin, fanout) {
+	for _, box := range spread.Below(spread.Draw(k.cfg.Tree, k.cfg.Ranked, treeKey(u.Origin), u.Origin), k.cfg.Self) {
 		k.cfg.Peers.SendSuspects(box, u)
 	}
 }
--- a/state/spread/spread_test.go
+++ b/state/spread/spread_test.go
@@ -29,9 +29,10 @@
 		named[fmt.Sprintf("z%d", zone)] = fmt.Sprintf("r%d", zone%count)
 	}
 	d := drawn{regions: locality.New(named), fleets: make(map[string]Fleet)}
+	wire := uint16(rapid.IntRange(ZonesSince-1, ZonesSince).Draw(t, "wire"))
 	for i := range rapid.IntRange(1, 60).Draw(t, "boxes") {
 		zone := rapid.IntRange(0, 2*count-1).Draw(t, "zone")
-		d.boxes = append(d.boxes, member.Box{Name: fmt.Sprintf("b%d", i), Zone: fmt.Sprintf("z%d", zone)})
+		d.boxes = append(d.boxes, member.Box{Name: fmt.Sprintf("b%d", i), Zone: fmt.Sprintf("z%d", zone), Wire: wire})
 	}
 	for _, b := range d.boxes {
 		d.fleets[b.Name] = New(b, d.boxes, d.regions)
@@ -52,7 +53,6 @@
 	rapid.Check(t, func(t *rapid.T) {
 		d := draw(t)
 		origin := rapid.SampledFrom(d.boxes).Draw(t, "origin").Name
-		fanout := rapid.IntRange(1, 8).Draw(t, "fanout")
 		key := "endpoints@" + origin
 		got := map[string]int{origin: 1}
 		crossed := make(map[string]int)
@@ -70,9 +70,9 @@
 		for len(waiting) > 0 {
 			box := waiting[0]
 			waiting = waiting[1:]
-			children := Children(d.fleets[box].Near(key), box, origin, fanout)
-			if len(children) > fanout {
-				t.Fatalf("%s passes on to %d boxes of at most %d", box, len(children), fanout)
+			children := Below(d.fleets[box].Tree(key, origin), box)
+			if len(children) > Fanout {
+				t.Fatalf("%s passes on to %d boxes of at most %d", box, len(children), Fanout)
 			}
 			for _, child := range children {
 				send(box, child)
@@ -94,12 +94,11 @@
 func TestAboveIsWhoPassesOn(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		d := draw(t)
-		fanout := rapid.IntRange(1, 8).Draw(t, "fanout")
 		for name, f := range d.fleets {
 			order := f.Near("list")
 			child := name
-			for _, parent := range Above(order, name, fanout) {
-				if !slices.Contains(Below(order, parent, fanout), child) || d.region(parent) != d.region(name) {
+			for _, parent := range Above(order, name) {
+				if !slices.Contains(Below(order, parent), child) || d.region(parent) != d.region(name) {
 					t.Fatalf("%s is no child of %s in its region", child, parent)
 				}
 				child = parent
@@ -147,3 +146,51 @@
 		t.Errorf("heads %v after %v has gone", after, before)
 	}
 }
+
+// TestTreeByZone holds that an update crosses into a zone a few times, however many boxes stand
+// there, and that one box of another build has all draw the tree that it knows.
+func TestTreeByZone(t *testing.T) {
+	const zones = 5
+	for _, n := range []int{30, 300, 986, 2000} {
+		var boxes []member.Box
+		for i := range n {
+			boxes = append(boxes, member.Box{Name: fmt.Sprintf("b%04d", i), Zone: fmt.Sprintf("z%d", i%zones), Wire: ZonesSince})
+		}
+		crossings := func(boxes []member.Box) int {
+			f := New(boxes[0], boxes, locality.Map{})
+			zone := make(map[string]string)
+			for _, b := range boxes {
+				zone[b.Name] = b.Zone
+			}
+			count := 0
+			for _, origin := range []string{boxes[0].Name, boxes[7].Name} {
+				order := f.Tree("endpoints", origin)
+				if order[0] != origin || len(order) != n {
+					t.Fatalf("%d boxes: the tree of %d has the root %s, not %s", n, len(order), order[0], origin)
+				}
+				for _, box := range order {
+					for _, child := range Below(order, box) {
+						if zone[box] != zone[child] {
+							count++
+						}
+					}
+				}
+			}
+			return count / 2
+		}
+		levels := 0
+		for size := 1; size < n; size *= Fanout {
+			levels++
+		}
+		byZone := crossings(boxes)
+		boxes[3].Wire = ZonesSince - 1
+		byRank := crossings(boxes)
+		t.Logf("%d boxes: %d of %d ways cross zones, %d in a tree by rank", n, byZone, n-1, byRank)
+		if byZone > zones*levels*Fanout/2 {
+			t.Errorf("%d boxes: %d ways cross zones", n, byZone)
+		}
+		if byRank < n/2 {
+			t.Errorf("%d boxes: with one of another build %d ways cross zones", n, byRank)
+		}
+	}
+}
