What a box is told of all others is compressed

Cause: the answer to a box that starts was 60 bytes for each of the others, names and addresses that are mostly alike; five or six such answers are most of what membership sends in a start.

Change: updates of a membership message are packed from 32 on, as those of endpoints are; builds that don't read that get them as they are.

--- a/box/wire.go
+++ b/box/wire.go
@@ -52,10 +52,15 @@
 // SendMember sends a membership message with the table's generation, the version
 // of the drained zones and the digest of the suspected requests.
 func (p peers) SendMember(box string, m member.Message) ring.Outcome {
-	return p.net.Send(box, &boxwire.Member{
+	out := &boxwire.Member{
 		Message: m, Generation: p.generation(), AgeMS: ageMS(p.age()), Drained: p.drained(),
 		Suspects: p.suspects(),
-	})
+	}
+	packed, err := out.Pack()
+	if err != nil {
+		panic(err)
+	}
+	return p.net.Send(box, packed)
 }
 
 // ageMS is an age on the wire; -1 is not known.
@@ -173,7 +178,7 @@
 		engine, _ := names.Name(m.Engine)
 		b.decisions.Check(from, group, engine, m.Attempts(self))
 	case *boxwire.Member:
-		_ = b.members.Receive(from, m.Message)
+		b.receiveMember(from, m)
 		b.follower.Heard(from, m.Generation)
 		b.follower.Confirmed(m.Generation, ageOf(m.AgeMS))
 		b.hearDrained(from, m.Drained)
@@ -202,6 +207,17 @@
 	}
 }
 
+// receiveMember takes a message of membership.
+func (b *Box) receiveMember(from string, m *boxwire.Member) {
+	message, err := m.Open()
+	if err != nil {
+		b.options.Log.WithFields(log.Fields{"peer": from}).WithError(err).Warn("member_bad")
+		return
+	}
+	// One that finds no room is lost, as a network would lose it.
+	_ = b.members.Receive(from, message)
+}
+
 // receiveUpdate takes an update of the endpoints.
 func (b *Box) receiveUpdate(from string, m *boxwire.Update) {
 	if b.routed == nil {
--- a/protocol/boxwire/boxwire.go
+++ b/protocol/boxwire/boxwire.go
@@ -89,6 +89,12 @@
 	Kind() Kind
 }
 
+// compressed is a message part of which may be compressed.
+type compressed interface {
+	// unpacked is the message for builds that do not read that.
+	unpacked() (Message, error)
+}
+
 // Hello opens a connection and says who speaks.
 type Hello struct {
 	Box         string
@@ -110,6 +116,8 @@
 	AgeMS      int64
 	Drained    drain.Version
 	Suspects   uint64
+	// Packed are the message's updates, compressed, where there are many.
+	Packed []byte
 }
 
 // Change carries a change of the table, as compressed JSON: it is read by people in
@@ -194,9 +202,9 @@
 	if !v.Reads(m.Kind()) {
 		return buf, fmt.Errorf("%w: kind %s, version %d", ErrNotRead, m.Kind(), v)
 	}
-	if u, ok := m.(*Update); ok && v == VersionNone {
+	if p, ok := m.(compressed); ok && v == VersionNone {
 		var err error
-		if m, err = u.unpacked(); err != nil {
+		if m, err = p.unpacked(); err != nil {
 			return buf, err
 		}
 	}
--- a/protocol/boxwire/version_test.go
+++ b/protocol/boxwire/version_test.go
@@ -306,12 +306,20 @@
 	for range member.MaxSync {
 		m.Message.Updates = append(m.Message.Updates, box)
 	}
+	packed, err := m.Pack()
+	if err != nil || len(packed.Packed) == 0 {
+		t.Fatalf("%d bytes packed (%v)", len(packed.Packed), err)
+	}
 	for _, v := range []Version{VersionNone, VersionNow} {
-		frame, err := Append(nil, &m, v)
+		frame, err := Append(nil, packed, v)
 		if err != nil {
-			t.Errorf("version %d: %v", v, err)
+			t.Fatalf("version %d: %v", v, err)
 		}
 		t.Logf("version %d: %d bytes", v, len(frame))
+		got, err := readFrame(t, frame).(*Member).Open()
+		if err != nil || !reflect.DeepEqual(got, m.Message) {
+			t.Errorf("version %d: got %+v (%v)", v, got, err)
+		}
 	}
 }
 
