A few boxes check the platform's list, the others read it less and less often

Change: three boxes in rank read it as before; the others at their start, then after pauses that double up to 32 times the first, and at once when they have stood still. Who takes dead boxes off is one of those that read.

--- a/coordination/member/member.go
+++ b/coordination/member/member.go
@@ -16,6 +16,7 @@
 	"runridge.example/runridge/modules/ring"
 	"runridge.example/runridge/state/locality"
 	"runridge.example/runridge/state/member"
+	"runridge.example/runridge/state/rank"
 )
 
 // Sender sends membership messages. It must not block.
@@ -80,11 +81,13 @@
 
 // Members runs the protocol.
 type Members struct {
-	cfg      Config
-	queue    *ring.Ring[incoming]
-	lists    chan []adapter.Box
-	leave    chan struct{}
-	refused  chan string
+	cfg     Config
+	queue   *ring.Ring[incoming]
+	lists   chan []adapter.Box
+	leave   chan struct{}
+	refused chan string
+	// reread is poked when the list is to be read at once.
+	reread   chan struct{}
 	snapshot atomic.Pointer[Snapshot]
 	delays   atomic.Pointer[locality.Delays]
 	listed   map[string]adapter.Box
@@ -106,6 +109,7 @@
 		leave: make(chan struct{}, 1),
 
 		refused: make(chan string, refusedQueue),
+		reread:  make(chan struct{}, 1),
 	}
 	m.snapshot.Store(&Snapshot{Duty: []member.Box{cfg.View.Self}, All: []member.Box{cfg.View.Self}})
 	m.delays.Store(&locality.Delays{})
@@ -191,11 +195,20 @@
 		paused = view.Distrusts(now)
 		if paused && !was || view.Denied() {
 			m.cfg.Log.Warn("own_pause_noticed")
+			m.readAgain()
 			m.cfg.OnPause()
 		}
 	}
 }
 
+// readAgain has the list read at once: the box may have missed what the others said.
+func (m *Members) readAgain() {
+	select {
+	case m.reread <- struct{}{}:
+	default:
+	}
+}
+
 func (m *Members) send(out []member.Send) {
 	for _, s := range out {
 		_ = m.cfg.Sender.SendMember(s.To, s.Message)
@@ -256,12 +269,14 @@
 func (m *Members) poll(ctx context.Context) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
-	known, early := 0, mostEarlyReads
+	known, early, pause := 0, mostEarlyReads, time.Duration(0)
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-timer.C:
+		case <-m.reread:
+			pause = 0
 		}
 		call, cancel := context.WithTimeout(ctx, m.cfg.Poll)
 		list, err := m.cfg.Platform.Boxes(call)
@@ -284,9 +299,45 @@
 			timer.Reset(min(earlyRead, m.cfg.Poll))
 			continue
 		}
-		// All boxes together read the list at the rate of a small fleet.
-		timer.Reset(m.cfg.Poll * time.Duration(1+known/pollFleet))
+		pause = pollPause(m.cfg.Poll, pause, known, m.checks(), m.listsSelf(list))
+		timer.Reset(pause)
+	}
+}
+
+// pollPause is how long after one reading of the list the next follows. All boxes together
+// read it at the rate of a small fleet. Who lives is told by membership, so that the list is
+// checked by a few, and by the others less and less often: each reading has all boxes in it.
+// One that does not find itself reads again sooner: the list lags behind its entry.
+func pollPause(poll, before time.Duration, known int, checks, listed bool) time.Duration {
+	first := poll * time.Duration(1+known/pollFleet)
+	switch {
+	case !listed:
+		return min(max(2*before, poll), first)
+	case checks || before < first:
+		return first
+	default:
+		return min(2*before, longestPolls*first)
+	}
+}
+
+const (
+	// checkers is how many boxes check the list for all.
+	checkers = 3
+	// longestPolls is how many times longer the others' pauses become.
+	longestPolls = 32
+	// CheckKey orders the boxes for that, and for who takes dead ones off the list: its
+	// first box has to know it as it is.
+	CheckKey = "registry"
+)
+
+// checks says whether this box checks the list for all. One that knows no other does.
+func (m *Members) checks() bool {
+	duty := m.Snapshot().Duty
+	names := make([]string, 0, len(duty))
+	for _, b := range duty {
+		names = append(names, b.Name)
 	}
+	return len(names) <= 1 || slices.Contains(rank.Of(names).First(CheckKey, checkers), m.cfg.View.Self.Name)
 }
 
 // Boxes of a fleet that starts for the first time read an empty list and join it. A box
--- a/coordination/registry/registry.go
+++ b/coordination/registry/registry.go
@@ -57,8 +57,6 @@
 	// how often it is looked for.
 	firstList = time.Second
 	listLook  = 50 * time.Millisecond
-	// rankKey orders the boxes for who takes dead ones off.
-	rankKey = "registry"
 )
 
 // Keeper is the duty.
@@ -131,7 +129,7 @@
 		k.join(ctx)
 	}
 	overdue := k.overdue(now, view)
-	if order := k.cfg.Ranked(rankKey); len(order) == 0 || order[0] != k.cfg.Self.Name {
+	if order := k.cfg.Ranked(members.CheckKey); len(order) == 0 || order[0] != k.cfg.Self.Name {
 		return
 	}
 	for _, b := range overdue {
