--- a/box/delta.go
+++ b/box/delta.go
@@ -21,9 +21,8 @@
 // errDeltaTooLong is returned for a change that unpacks to more than maxDelta.
 var errDeltaTooLong = errors.New("change of the table is too long")
 
-// packDelta gives a change its form between boxes: JSON, compressed. 1,360 routes
-// take 0.3 MB as JSON, which holds a link of 20 Mbit/s for 0.12 s a copy, and a
-// tenth of that compressed.
+// packDelta gives a change its form between boxes: JSON, compressed to a tenth, as many
+// routes that come at once would hold up a narrow link.
 func packDelta(d table.Delta) ([]byte, error) {
 	var out bytes.Buffer
 	w, err := flate.NewWriter(&out, flate.BestSpeed)
--- a/coordination/discover/gap.go
+++ b/coordination/discover/gap.go
@@ -20,8 +20,8 @@
 	// pullTries is how often a box asks without a further update: those come at least
 	// once in a second.
 	pullTries = 4
-	// listUnderWay is how long a list that was passed on may be under way: one of
-	// 40 KB to eight boxes takes 0.3 s on a link of 10 Mbit/s.
+	// listUnderWay is how long a list that was passed on may be under way, to all boxes
+	// below this one and over a narrow link.
 	listUnderWay = time.Second
 )
 
--- a/coordination/discover/start.go
+++ b/coordination/discover/start.go
@@ -15,30 +15,23 @@
 
 const (
 	// largeFleet is from how many boxes of a region on a box that starts takes its
-	// first list from another box. Where all boxes of a fleet start, each of them read
-	// 0.9 MB for 3,000 endpoints: 150 boxes filled a link of 60 Mbit/s for 18 s, and
-	// 300 boxes one of 1 Gbit/s for 2.2 s.
+	// first list from another box: where all boxes of a fleet start, their lists would
+	// fill the platform's link.
 	largeFleet = 64
-	// boxesWait bounds the wait for the list of boxes, which takes up to 1.3 s where
-	// 150 boxes read it over a link of 60 Mbit/s, and boxesLook is how often it is
-	// looked for.
+	// boxesWait bounds the wait for the list of boxes, which all boxes may read at once,
+	// and boxesLook is how often it is looked for.
 	boxesWait = 1500 * time.Millisecond
 	boxesLook = 10 * time.Millisecond
 	// listWait is how long a box waits for another's list before it reads the
-	// platform's: a reader takes 0.4 s for 60 pages, each of 40 KB packed for eight
-	// boxes after it 0.3 s on a link of 10 Mbit/s, over three steps of the tree, and in
-	// a far region of 150 boxes the list of boxes alone fills a link of 60 Mbit/s for
-	// 0.8 s before that.
+	// platform's: a reader's own reading, and three steps of the tree over narrow links.
 	listWait = 3 * time.Second
 	// listStep is how much longer each further box in rank waits, and longestStep
 	// bounds that: one that reads the list itself can answer those after it, and what
-	// all read at once comes later for all. With 20 ms and 2 s, after 2 s, 84 of 150 far
-	// boxes read for themselves, and half of all had no list after 3.8 s.
+	// all read at once comes later for all.
 	listStep    = 50 * time.Millisecond
 	longestStep = 5 * time.Second
 	// listAsk is how long an answer is waited for before the next box above in the
-	// tree is asked. With three tries for each of them, 44 of 150 far boxes had a list
-	// 4.6 s after all were killed, and 135 with one.
+	// tree is asked.
 	listAsk = 400 * time.Millisecond
 )
 
--- a/coordination/member/member.go
+++ b/coordination/member/member.go
@@ -217,9 +217,9 @@
 
 const (
 	// publishShare is the part of the time that publishing may take, and
-	// longestPublishPause how long a change may wait for it: a fleet of 300 boxes
-	// that starts brings 300 changes to each box within a second, and each one
-	// has the homes of all groups worked out anew.
+	// longestPublishPause how long a change may wait for it: a fleet that starts brings
+	// a change for each of its boxes within a second, and each one has the homes of
+	// all groups worked out anew.
 	publishShare        = 0.1
 	longestPublishPause = 100 * time.Millisecond
 )
@@ -342,8 +342,7 @@
 
 // Boxes of a fleet that starts for the first time read an empty list and join it. A box
 // that does not find itself there reads again soon, so that it learns of the others:
-// until the next regular reading, 1.9 s later, six boxes of eight each took themselves
-// for the home of an account and gave out its whole quota.
+// until then it takes itself for the home of every account and gives out its whole quota.
 const (
 	earlyRead      = 200 * time.Millisecond
 	mostEarlyReads = 3
--- a/coordination/quarantine/check.go
+++ b/coordination/quarantine/check.go
@@ -23,8 +23,8 @@
 	probeTimeout = time.Second
 	mostProbes   = 64
 	// settleFor is how long an endpoint stays in doubt, and how long its end is
-	// remembered for exchanges that break off later: its entry goes three heartbeats
-	// after its end, some 4 s, and one whose machine says nothing breaks off after 2.5 s.
+	// remembered for exchanges that break off later: longer than its entry stays after
+	// its end, and than one waits whose machine says nothing.
 	settleFor = 6 * time.Second
 	// mostLosses bounds the losses that wait for one endpoint's check: more than a box
 	// has under way there.
--- a/coordination/relay/exchange.go
+++ b/coordination/relay/exchange.go
@@ -30,8 +30,8 @@
 }
 
 // noteArrival counts an arrival. A prefill that an engine takes up first counts as
-// none; one that is turned away does: where it was not counted, the further arrivals
-// after all boxes had been killed came to 568 in ten seconds, 455 allowed.
+// none; one that is turned away does, or the arrivals after all boxes were killed would
+// pass the budget.
 func (v *run) noteArrival() {
 	if v.arrivals > 0 {
 		v.paid--
--- a/coordination/relay/refuse.go
+++ b/coordination/relay/refuse.go
@@ -27,8 +27,7 @@
 	// room.
 	maxSpills = 2
 	// maxFarSpills is how many groups of other regions are asked after them. One: a
-	// question there takes some 40 ms, a request some 100 ms more than at home, and
-	// the other region's own callers come first.
+	// question there takes long, and the other region's own callers come first.
 	maxFarSpills = 1
 )
 
--- a/modules/timeline/callers.go
+++ b/modules/timeline/callers.go
@@ -39,7 +39,7 @@
 
 const (
 	// atOnce is how long a refusal may take that is not held: three questions to
-	// homes in other zones, 10 ms each as measured, with some room.
+	// homes in other zones, with some room.
 	atOnce = 50 * time.Millisecond
 	// lateValue is what a late answer is worth against one in time: 7.5 of 37,
 	// the users' figures for language models.
--- a/protocol/boxwire/update.go
+++ b/protocol/boxwire/update.go
@@ -17,8 +17,8 @@
 	maxUnpacked = MaxFrame
 )
 
-// FromUpdate converts an update to its message. The 3,000 endpoints of a large fleet
-// are 193 KB as they stand and 40 KB packed (TestUpdatePacked).
+// FromUpdate converts an update to its message: packed where there are many changes, which
+// takes a fifth of the bytes.
 func FromUpdate(n directory.Update, generation uint64) (*Update, error) {
 	if len(n.Changes) < leastPacked {
 		return &Update{Update: n, Generation: generation}, nil
--- a/state/directory/cold.go
+++ b/state/directory/cold.go
@@ -11,7 +11,7 @@
 	// a heartbeat later, so the earlier end is the right one.
 	lateReport = 1500 * time.Millisecond
 	// soonerReport is by how much sooner an end has to be to be worth a change of the
-	// directory. Chosen, not measured.
+	// directory.
 	soonerReport = 500 * time.Millisecond
 )
 
--- a/state/directory/directory.go
+++ b/state/directory/directory.go
@@ -72,8 +72,8 @@
 	revision uint64
 	// at is the platform's revision that the directory stands at.
 	at uint64
-	// statuses shares what did not change with the directory before: a change of
-	// one of 3,000 endpoints copies some 2 KB, where it copied all 1.2 MB.
+	// statuses shares what did not change with the directory before, so that a change
+	// of one endpoint copies little however many there are.
 	statuses *immutable.Map[string, *Status]
 	// gone counts the endpoints that are remembered and gone.
 	gone int
--- a/state/estimate/length.go
+++ b/state/estimate/length.go
@@ -11,11 +11,9 @@
 	// three lie within a factor of 1.65 of the guess.
 	priorSpread = 0.5
 	// priorWeight is the number of answers that the starting figures count for,
-	// so that the first to end, which are the short ones, weigh little. Chosen,
-	// not measured.
+	// so that the first to end, which are the short ones, weigh little.
 	priorWeight = 20
-	// lengthMemory is the number of answers after which older ones fade. Chosen,
-	// not measured.
+	// lengthMemory is the number of answers after which older ones fade.
 	lengthMemory = 200
 	// lengthClip bounds the logarithm of one observation, so that a guess that
 	// means nothing (0, or the most allowed) does not spoil the rest.
--- a/state/estimate/patience.go
+++ b/state/estimate/patience.go
@@ -13,7 +13,7 @@
 	// millisecond twice.
 	wholeAfter = 2
 	// patienceMemory is after how many observations all counts are halved, so that
-	// times which callers no longer name fade. Chosen, not measured.
+	// times which callers no longer name fade.
 	patienceMemory = 64
 )
 
--- a/state/health/health.go
+++ b/state/health/health.go
@@ -45,7 +45,7 @@
 const (
 	// sick is the part of its orders that a sick endpoint fails, and rare the least
 	// usual part that is reckoned with: one that is well may fail now and then. Both
-	// are parts of all orders, 0 to 1; chosen, not measured.
+	// are parts of all orders, 0 to 1.
 	sick = 0.5
 	rare = 0.02
 )
--- a/state/member/member.go
+++ b/state/member/member.go
@@ -83,11 +83,7 @@
 	DefaultTimeout        = 150 * time.Millisecond
 	defaultIndirect       = 3
 	defaultSuspectPeriods = 3
-	// defaultUpdates lets what is said of a lost zone go round at once. With 6 it queued: where
-	// a zone of 58 boxes hears nothing and still sends, which suspects all others and is
-	// suspected, the others had the last of its boxes for dead after 12.4 s (mean of 20 seeds; 17.1 s
-	// at most), with 16 after 6.5 s (7.1 s); of 99 boxes after 26.9 s (4 seeds; 34.2 s), with 16
-	// after 8.8 s (9.9 s). In these 90 s 16 send 17 to 30 % more in all; after the loss of one box, no more.
+	// defaultUpdates lets what is said of a lost zone go round at once; with few it queues.
 	defaultUpdates = 16
 	defaultForget  = 2 * time.Minute
 )
@@ -358,8 +354,7 @@
 		return
 	}
 	// A box that clears a suspicion raises its incarnation and is the same process
-	// as before: in a fleet of 300 that starts, each box took over four such views a
-	// second in which nothing had changed.
+	// as before: nothing has changed for those who are told of changes.
 	other := e.Address != b.Address || e.Start != b.Start
 	if other || (e.State >= Dead) != (b.State >= Dead) || (e.State == Leaving) != (b.State == Leaving) {
 		v.changed = true
--- a/state/schedule/forecast.go
+++ b/state/schedule/forecast.go
@@ -23,7 +23,7 @@
 	// horizons is the number of moments ahead at which memory is forecast.
 	horizons = 10
 	// risk is how many standard deviations above its mean a forecast is kept
-	// within the engine's memory; 1.0 to 3.0 were measured (docs/further.md).
+	// within the engine's memory.
 	risk = 2.5
 )
 
--- a/state/schedule/learn.go
+++ b/state/schedule/learn.go
@@ -124,7 +124,7 @@
 }
 
 // serviceShare is the weight of one request in the mean time of plain ones: some
-// tens of them show that the endpoints have become slower. Chosen, not measured.
+// tens of them show that the endpoints have become slower.
 const serviceShare = 1.0 / 32
 
 // learnService takes in how long a plain request held its slot.
@@ -168,7 +168,7 @@
 }
 
 // errorShare is the weight of one answer in the part of them that are errors, so that
-// some hundreds show it. Chosen, not measured.
+// some hundreds show it.
 const errorShare = 1.0 / 128
 
 // fail notes a failed order on an engine. One that could not be connected to is out at
--- a/state/schedule/result.go
+++ b/state/schedule/result.go
@@ -11,15 +11,13 @@
 
 // An engine that turns a request away does not say whether it has no memory or
 // could not fetch the prefill result. Two engines that turn away the same
-// result speak against the result. While two engines in five lost their results
-// at once, prompts of 0.9 million tokens were read in vain instead of 1.2, and
-// decode engines were not held back for memory that they had (docs/large.md).
+// result speak against the result: else, while many engines lose theirs at once,
+// decode engines are held back for memory that they have (docs/large.md).
 
 // takeoverTime is for how long after the first request that it is told of a group takes an engine that
 // turns a request away for full, whatever else speaks against the result: an earlier
-// home may have granted what the engine holds, for as long as an answer takes (3.4 s
-// where this was measured). Without it a home that took over had all engines that
-// prefill out within 1.5 s, 30 times in all.
+// home may have granted what the engine holds, for as long as an answer takes. Without it
+// a home that takes over has all engines that prefill out in a moment.
 const takeoverTime = 4 * time.Second
 
 // begin notes when the group is told of its first request, asked for or adopted.
