--- a/bench/fleet/report.go
+++ b/bench/fleet/report.go
@@ -115,13 +115,11 @@
 			return err
 		}
 	}
-	for name, of := range map[string]func(r Report) map[string]float64{
-		"bytes of the start":    func(r Report) map[string]float64 { return r.StartSent },
-		"bytes a second, quiet": func(r Report) map[string]float64 { return r.Sent },
-	} {
-		if err := addKinds(out, name, reports, of); err != nil {
-			return err
-		}
+	if err := addKinds(out, "bytes of the start", reports, func(r Report) map[string]float64 { return r.StartSent }); err != nil {
+		return err
+	}
+	if err := addKinds(out, "bytes a second, quiet", reports, func(r Report) map[string]float64 { return r.Sent }); err != nil {
+		return err
 	}
 	return out.Render()
 }
--- a/protocol/boxwire/version_test.go
+++ b/protocol/boxwire/version_test.go
@@ -12,6 +12,7 @@
 	"flag"
 	"fmt"
 	"maps"
+	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"reflect"
@@ -301,9 +302,14 @@
 func TestPartOfSyncFits(t *testing.T) {
 	m := *golden()["member"].(*Member)
 	box := m.Message.Updates[0]
-	box.Name = strings.Repeat("n", 63)
 	m.Message.Updates = nil
-	for range member.MaxSync {
+	const longest = 63
+	random := rand.New(rand.NewPCG(1, 2))
+	for i := range member.MaxSync {
+		box.Name = fmt.Sprintf("%0*d", longest, i)
+		box.Address = fmt.Sprintf("10.%d.%d.%d:7660", i%5, i/5, random.IntN(250))
+		box.Start += random.Uint64N(1000)
+		box.Incarnation = box.Start
 		m.Message.Updates = append(m.Message.Updates, box)
 	}
 	packed, err := m.Pack()
