A box of which an unknown state is told is no reason to end

Cause: updates with a state that this build does not know are passed over, and the answer to a question for all boxes then looked at the entry that is not there. Found by reading; no build sends such a state yet.

TestStateOfALaterBuild panicked before.

--- a/state/member/sync.go
+++ b/state/member/sync.go
@@ -125,7 +125,7 @@
 		if !known {
 			s.learnt++
 		}
-		if e := v.boxes[b.Name]; e.told == 0 && e.State == Live && b.Name != v.cfg.Self.Name {
+		if e := v.boxes[b.Name]; e != nil && e.told == 0 && e.State == Live && b.Name != v.cfg.Self.Name {
 			// Every box asks, so this is no update to pass on.
 			e.told = untold
 		}
--- a/state/member/sync_test.go
+++ b/state/member/sync_test.go
@@ -78,6 +78,27 @@
 	})
 }
 
+// TestStateOfALaterBuild holds that a state which this build does not know changes nothing that
+// it knows of a box, whichever message tells it.
+func TestStateOfALaterBuild(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	later := Dead + 1
+	for _, kind := range []MessageKind{Ping, Ack, PingRequest, SyncRequest, Sync, Sync + 1} {
+		v := New(Config{Self: Box{Name: "self"}}, now)
+		v.Receive(now, "known", Message{Kind: Ping, Updates: []Box{{Name: "known", Incarnation: 1}}})
+		v.Receive(now, "known", Message{Kind: kind, Updates: []Box{
+			{Name: "known", Incarnation: 2, State: later}, {Name: "new", Incarnation: 1, State: later},
+		}})
+		known, _ := v.Box("known")
+		if _, found := v.Box("new"); found || known.State != Live || known.Incarnation != 1 {
+			t.Errorf("kind %d: %+v is known, and a new box: %v", kind, known, found)
+		}
+	}
+	if later.String() != "unknown" {
+		t.Errorf("the state is called %q", later)
+	}
+}
+
 // TestSyncOfTheSame holds that who knows the same does not answer: later questions of a fleet
 // at rest cost next to nothing.
 func TestSyncOfTheSame(t *testing.T) {
