A phase of a later build, told by another box, is an end that is not known

Naming it ended the process; it stands for a request that may have run. Found by reading what else comes from other builds; TestPhaseOfALaterBuild panicked before.

--- a/coordination/dispatch/repeat.go
+++ b/coordination/dispatch/repeat.go
@@ -173,8 +173,11 @@
 		return joinedFree
 	}
 	phase := p.Phase
-	if phase == lifecycle.Cancelled {
+	switch {
+	case phase == lifecycle.Cancelled:
 		phase = lifecycle.Failed
+	case !phase.Known():
+		phase = lifecycle.Unknown
 	}
 	v.conclude(Answer{Phase: phase, Reason: p.Reason, Tokens: v.machine.Emitted})
 	return joinedEnd
--- a/state/lifecycle/types.go
+++ b/state/lifecycle/types.go
@@ -110,9 +110,15 @@
 
 // String gives the phase's name as it stands in logs and refusals.
 func (p Phase) String() string {
+	if !p.Known() {
+		return "phase_of_a_later_build"
+	}
 	return phaseNames[p]
 }
 
+// Known says whether this build has the phase: another box may run a later one.
+func (p Phase) Known() bool { return int(p) < len(phaseNames) }
+
 // Ended says whether the request has its final answer.
 func (p Phase) Ended() bool {
 	return p >= Finished
