A write that finds no room to hold leaves no hold behind

Cause: where the budget was used up, a write to a caller opened a hold, found no room and wrote without it; the hold stood among those that may give way for as long as the process. Found by reading the change.

TestOutlet: one hold left behind before, none now. /status tells how many there are.

--- a/coordination/held/held.go
+++ b/coordination/held/held.go
@@ -72,6 +72,8 @@
 	Most  int64 `json:"most"`
 	// ByKind is what is held now by what for.
 	ByKind map[string]int64 `json:"by_kind"`
+	// Yielding is how many holds may have to give way.
+	Yielding int `json:"yielding"`
 	// GaveWay counts those that were made to give way, Denied what found no room.
 	GaveWay uint64 `json:"gave_way"`
 	Denied  uint64 `json:"denied"`
@@ -86,7 +88,7 @@
 	defer b.mutex.Unlock()
 	s := Status{
 		Bytes: b.cfg.Bytes, Used: b.used, Most: b.most,
-		ByKind: make(map[string]int64, kinds), GaveWay: b.gaveWay, Denied: b.denied,
+		ByKind: make(map[string]int64, kinds), Yielding: len(b.yielding), GaveWay: b.gaveWay, Denied: b.denied,
 	}
 	for k, n := range b.byKind {
 		s.ByKind[Kind(k).String()] = n
--- a/transport/relayhttp/outlet.go
+++ b/transport/relayhttp/outlet.go
@@ -125,6 +125,8 @@
 	}
 	if !o.writing {
 		// The box has no room: the caller and its endpoint wait for each other.
+		o.hold.Close()
+		o.hold = nil
 		written, err := o.writePiece(p[:min(len(p), outletPiece)], true)
 		o.err = err
 		return written
--- a/transport/relayhttp/outlet_test.go
+++ b/transport/relayhttp/outlet_test.go
@@ -90,7 +90,8 @@
 		convey.So(budget.Status().Used, convey.ShouldEqual, 0)
 	})
 	convey.Convey("Where the box has no room, writer and caller wait for each other", t, func() {
-		o, caller := pair(t, budgetOf(0))
+		budget := budgetOf(0)
+		o, caller := pair(t, budget)
 		o.patience = time.Minute
 		go func() {
 			_, _ = o.Write(text)
@@ -99,6 +100,7 @@
 		got, err := io.ReadAll(caller)
 		convey.So(err, convey.ShouldBeNil)
 		convey.So(bytes.Equal(got, text), convey.ShouldBeTrue)
+		convey.So(budget.Status().Yielding, convey.ShouldEqual, 0)
 	})
 	convey.Convey("An answer that has to give way ends", t, func() {
 		budget := budgetOf(1 << 20)
