Boxes log the limits that endpoints name in their answers

Change: routed services, engines and plain services of the product's own interface read it (each protocol has a name of its own for it), and a box logs endpoint_limit_told where it differs from what it knew, with the request. No decision follows from it yet. The stand-ins name limits and record arrivals.

--- a/box/box.go
+++ b/box/box.go
@@ -20,6 +20,7 @@
 	"runridge.example/runridge/coordination/follow"
 	"runridge.example/runridge/coordination/held"
 	"runridge.example/runridge/coordination/home"
+	"runridge.example/runridge/coordination/limit"
 	members "runridge.example/runridge/coordination/member"
 	"runridge.example/runridge/coordination/quarantine"
 	"runridge.example/runridge/coordination/watch"
@@ -100,6 +101,7 @@
 	keeper     *dedup.Keeper
 	quarantine *quarantine.Keeper
 	claimer    *dedup.Claimer
+	limits     *limit.Keeper
 	callers    *callerhttp.Server
 	metrics    *metric.Metrics
 	// held bounds what is held in memory for callers.
@@ -148,9 +150,9 @@
 		settings: s,
 		options:  o,
 		regions:  locality.New(s.Regions),
-		engine:   enginehttp.New(),
-		plain:    plainhttp.New(),
+		limits:   limit.New(limit.Config{Log: o.Log}),
 	}
+	b.engine, b.plain = enginehttp.New(b.limits), plainhttp.New(b.limits)
 	if o.Platform != nil {
 		counts := &callCounts{counts: make(map[string]int)}
 		platform := measured{
--- a/box/routed.go
+++ b/box/routed.go
@@ -136,6 +136,7 @@
 		Boxes:        func() int { return b.knownBoxes() + spareBoxes },
 		Budget:       budgetOf(s),
 		Cold:         coldBoundOf(s),
+		Limits:       b.limits,
 		Held:         b.held,
 		Metrics:      b.metrics,
 		Log:          b.options.Log,
--- a/coordination/dispatch/call.go
+++ b/coordination/dispatch/call.go
@@ -39,7 +39,7 @@
 	Asks poison.Request
 	// Forward, for a plain service, makes the exchange with the endpoint. Its
 	// errors say what they prove, as those of an engine do.
-	Forward func(ctx context.Context, e table.Endpoint) error
+	Forward func(ctx context.Context, attempt lifecycle.AttemptID, e table.Endpoint) error
 }
 
 // Answer is the final word on a request.
--- a/coordination/dispatch/orders.go
+++ b/coordination/dispatch/orders.go
@@ -130,7 +130,7 @@
 			return
 		}
 		if v.request.Forward != nil {
-			v.forward(ctx, e, engine)
+			v.forward(ctx, attempt, e, engine)
 			return
 		}
 		v.decode(ctx, e, engine.Name, func(ctx context.Context, each func(adapter.Token) bool) error {
@@ -141,8 +141,8 @@
 
 // forward passes a call on to a plain service. Its whole answer stands for the
 // one token that ends the request.
-func (v *driver) forward(ctx context.Context, e lifecycle.StartDecode, endpoint table.Endpoint) {
-	if err := v.request.Forward(ctx, endpoint); err != nil {
+func (v *driver) forward(ctx context.Context, attempt lifecycle.AttemptID, e lifecycle.StartDecode, endpoint table.Endpoint) {
+	if err := v.request.Forward(ctx, attempt, endpoint); err != nil {
 		v.fail(e.Attempt, e.Engine, err, lifecycle.ReasonEngine)
 		return
 	}
--- a/coordination/relay/relay.go
+++ b/coordination/relay/relay.go
@@ -14,6 +14,7 @@
 
 	"runridge.example/runridge/coordination/held"
 	"runridge.example/runridge/coordination/home"
+	"runridge.example/runridge/coordination/limit"
 	"runridge.example/runridge/coordination/quarantine"
 	"runridge.example/runridge/coordination/quota"
 	"runridge.example/runridge/modules/log"
@@ -101,6 +102,8 @@
 	Budget retry.Config
 	// Cold bounds what cold endpoints get.
 	Cold pace.Bound
+	// Limits keeps the limits that endpoints name.
+	Limits *limit.Keeper
 	// Held bounds the bytes that are held of answers; nil is no bound.
 	Held *held.Budget
 	Log  log.Logger
--- a/coordination/relay/types.go
+++ b/coordination/relay/types.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"runridge.example/runridge/state/account"
+	"runridge.example/runridge/state/pace"
 )
 
 // Field is one header.
@@ -100,6 +101,8 @@
 	// NotRun is the endpoint's word that it did not run the request; OtherHere
 	// that another one has its address.
 	NotRun, OtherHere bool
+	// Limit is the limit that the endpoint names with it.
+	Limit pace.Limit
 	// Encoded marks a body that is not as the endpoint made it.
 	Encoded bool
 }
--- a/fakes/engine/engine.go
+++ b/fakes/engine/engine.go
@@ -13,11 +13,13 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"runridge.example/runridge/protocol/engineapi"
+	"runridge.example/runridge/tests/arrival"
 )
 
 // Config sets an engine's speeds and sizes.
@@ -98,6 +100,9 @@
 	pages     int
 	crashes   int
 
+	limit    atomic.Pointer[float64]
+	arrivals arrival.Log
+
 	http   *http.Server
 	addr   string
 	cancel context.CancelFunc
--- a/fakes/engine/http.go
+++ b/fakes/engine/http.go
@@ -12,13 +12,14 @@
 	"time"
 
 	"runridge.example/runridge/protocol/engineapi"
+	"runridge.example/runridge/tests/arrival"
 )
 
 func (e *Engine) routes() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc(engineapi.PathPrefill, e.servePrefill)
+	mux.HandleFunc(engineapi.PathPrefill, e.counted(e.servePrefill))
 	mux.HandleFunc(engineapi.PathImport, e.serveImport)
-	mux.HandleFunc(engineapi.PathDecode, e.serveDecode)
+	mux.HandleFunc(engineapi.PathDecode, e.counted(e.serveDecode))
 	mux.HandleFunc(engineapi.PathRelease, e.serveRelease)
 	mux.HandleFunc(engineapi.PathHolds, e.serveHolds)
 	mux.HandleFunc(engineapi.PathLoad, e.serveLoad)
@@ -27,6 +28,23 @@
 	return mux
 }
 
+// counted counts the requests that arrive, and names the limit in their answers.
+func (e *Engine) counted(serve http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		e.arrivals.Add(time.Now())
+		if limit := e.limit.Load(); limit != nil {
+			w.Header().Set(engineapi.HeaderLimit, strconv.FormatFloat(*limit, 'f', -1, 64))
+		}
+		serve(w, r)
+	}
+}
+
+// NameLimit has the engine name a limit in its answers, in requests a second.
+func (e *Engine) NameLimit(perSecond float64) { e.limit.Store(&perSecond) }
+
+// Arrivals are the requests that reached the engine.
+func (e *Engine) Arrivals() *arrival.Log { return &e.arrivals }
+
 func refuse(w http.ResponseWriter, code, text string) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(http.StatusServiceUnavailable)
--- a/fakes/plain/plain.go
+++ b/fakes/plain/plain.go
@@ -11,8 +11,12 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
+
+	"runridge.example/runridge/protocol/engineapi"
+	"runridge.example/runridge/tests/arrival"
 )
 
 // HeaderKey names a call in the counts.
@@ -23,9 +27,11 @@
 	mutex sync.Mutex
 	runs  map[string]int
 	// cut makes the next calls run and break off before the answer.
-	cut    int
-	addr   string
-	server *http.Server
+	cut      int
+	limit    *float64
+	arrivals arrival.Log
+	addr     string
+	server   *http.Server
 }
 
 // Start opens a service on a loopback address until the context ends.
@@ -61,9 +67,23 @@
 	return s.runs[key]
 }
 
+// NameLimit has the service name a limit in its answers, in requests a second.
+func (s *Server) NameLimit(perSecond float64) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.limit = &perSecond
+}
+
+// Arrivals are the calls that reached the service.
+func (s *Server) Arrivals() *arrival.Log { return &s.arrivals }
+
 // ServeHTTP answers with the method, the path and the body.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.arrivals.Add(time.Now())
 	s.mutex.Lock()
+	if s.limit != nil {
+		w.Header().Set(engineapi.HeaderLimit, strconv.FormatFloat(*s.limit, 'f', -1, 64))
+	}
 	s.runs[r.Header.Get(HeaderKey)]++
 	cut := s.cut > 0
 	if cut {
--- a/protocol/engineapi/engineapi.go
+++ b/protocol/engineapi/engineapi.go
@@ -17,6 +17,10 @@
 	PathOrder   = "/engine/order"
 )
 
+// HeaderLimit is on answers of an engine, or of a plain service, that takes only so many
+// requests a second from all boxes together.
+const HeaderLimit = "Runridge-Limit"
+
 // PrefillOrder asks the engine to compute a prompt's KV cache and keep it.
 type PrefillOrder struct {
 	Attempt string `json:"attempt"`
--- a/protocol/relayapi/relayapi.go
+++ b/protocol/relayapi/relayapi.go
@@ -13,6 +13,9 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"runridge.example/runridge/protocol/engineapi"
+	"runridge.example/runridge/state/pace"
 )
 
 // Names are the names of headers, paths and fields.
@@ -41,6 +44,9 @@
 	Source string
 	// Account names the client account to an endpoint.
 	Account string
+	// Limit is on answers of an endpoint that takes only so many requests a second from
+	// all boxes together.
+	Limit string
 	// Reserved are further headers that only a box may set.
 	Reserved []string
 	// FreePath, followed by a handle, is what frees a kept prefill result.
@@ -67,6 +73,7 @@
 		StagePrefill: "prefill",
 		Source:       "Runridge-Source",
 		Account:      "Runridge-Account",
+		Limit:        engineapi.HeaderLimit,
 		FreePath:     "/runridge/kept/",
 		HandleField:  "handle",
 		TokensField:  "tokens",
@@ -123,6 +130,15 @@
 	return n
 }
 
+// ParseLimit reads the limit that an answer names; what cannot be read names none.
+func ParseLimit(text string) pace.Limit {
+	perSecond, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+	if err != nil {
+		return pace.Limit{}
+	}
+	return pace.LimitOf(perSecond)
+}
+
 // ParsePrefill reads an engine's answer to a prefill.
 func (n Names) ParsePrefill(body []byte) (handle string, tokens int, err error) {
 	var fields map[string]json.RawMessage
--- a/transport/callerhttp/plain.go
+++ b/transport/callerhttp/plain.go
@@ -20,6 +20,7 @@
 	"runridge.example/runridge/coordination/dispatch"
 	"runridge.example/runridge/coordination/held"
 	"runridge.example/runridge/protocol/callerapi"
+	"runridge.example/runridge/state/lifecycle"
 	"runridge.example/runridge/state/table"
 	"runridge.example/runridge/transport/plainhttp"
 )
@@ -174,8 +175,9 @@
 var errCallerSlow = errors.New("answer could not be handed to the caller")
 
 // forward makes one exchange with an endpoint; the driver calls it.
-func (p *passage) forward(ctx context.Context, e table.Endpoint) error {
+func (p *passage) forward(ctx context.Context, attempt lifecycle.AttemptID, e table.Endpoint) error {
 	call := p.call
+	call.Attempt = attempt
 	if p.kept != nil {
 		call.Body = bytes.NewReader(p.kept)
 	} else if p.begun.Swap(true) {
--- a/transport/enginehttp/enginehttp.go
+++ b/transport/enginehttp/enginehttp.go
@@ -19,7 +19,9 @@
 	"github.com/joomcode/errorx"
 
 	"runridge.example/runridge/coordination/adapter"
+	"runridge.example/runridge/coordination/limit"
 	"runridge.example/runridge/protocol/engineapi"
+	"runridge.example/runridge/protocol/relayapi"
 	"runridge.example/runridge/state/lifecycle"
 	"runridge.example/runridge/state/table"
 	"runridge.example/runridge/transport/httpcall"
@@ -37,14 +39,15 @@
 // Client is an adapter.Engine over HTTP.
 type Client struct {
 	clients httpcall.Clients
+	limits  *limit.Keeper
 }
 
 // Client does what the router asks of an engine.
 var _ adapter.Engine = (*Client)(nil)
 
-// New makes a client.
-func New() *Client {
-	return &Client{clients: httpcall.New()}
+// New makes a client, which notes the limits that engines name.
+func New(limits *limit.Keeper) *Client {
+	return &Client{clients: httpcall.New(), limits: limits}
 }
 
 // Close drops idle connections.
@@ -55,7 +58,7 @@
 // Prefill orders a prefill and waits for its end.
 func (c *Client) Prefill(ctx context.Context, e table.Endpoint, attempt lifecycle.AttemptID, p adapter.Prompt, once bool) (adapter.Prefilled, error) {
 	var out engineapi.PrefillResult
-	if err := c.call(ctx, once, e, engineapi.PathPrefill, prefillOrder(attempt, p), &out); err != nil {
+	if err := c.call(ctx, attempt.String(), once, e, engineapi.PathPrefill, prefillOrder(attempt, p), &out); err != nil {
 		return adapter.Prefilled{}, err
 	}
 	if out.Attempt != attempt.String() {
@@ -94,7 +97,7 @@
 		OutputTokens: i.OutputTokens,
 	}
 	var out engineapi.ImportResult
-	if err := c.call(ctx, false, to, engineapi.PathImport, order, &out); err != nil {
+	if err := c.call(ctx, attempt.String(), false, to, engineapi.PathImport, order, &out); err != nil {
 		return err
 	}
 	if out.Attempt != attempt.String() {
@@ -116,7 +119,7 @@
 		p := prefillOrder(attempt, *d.Recompute)
 		order.Recompute = &p
 	}
-	resp, err := c.send(ctx, once, e, engineapi.PathDecode, order)
+	resp, err := c.send(ctx, attempt.String(), once, e, engineapi.PathDecode, order)
 	if err != nil {
 		return err
 	}
@@ -146,7 +149,7 @@
 
 // Release frees an attempt's memory.
 func (c *Client) Release(ctx context.Context, e table.Endpoint, attempt string) error {
-	return c.call(ctx, false, e, engineapi.PathRelease, engineapi.ReleaseOrder{Attempt: attempt}, nil)
+	return c.call(ctx, attempt, false, e, engineapi.PathRelease, engineapi.ReleaseOrder{Attempt: attempt}, nil)
 }
 
 // Holds lists what the engine keeps.
@@ -186,12 +189,12 @@
 // Order gives a fenced order.
 func (c *Client) Order(ctx context.Context, e table.Endpoint, o adapter.Order) error {
 	order := engineapi.Order{Fence: o.Fence, Kind: o.Kind, Value: o.Value}
-	return c.call(ctx, true, e, engineapi.PathOrder, order, nil)
+	return c.call(ctx, "", true, e, engineapi.PathOrder, order, nil)
 }
 
 // call sends an order and reads its answer into out, if out is not nil.
-func (c *Client) call(ctx context.Context, once bool, e table.Endpoint, path string, in, out any) error {
-	resp, err := c.send(ctx, once, e, path, in)
+func (c *Client) call(ctx context.Context, attempt string, once bool, e table.Endpoint, path string, in, out any) error {
+	resp, err := c.send(ctx, attempt, once, e, path, in)
 	if err != nil {
 		return err
 	}
@@ -214,7 +217,7 @@
 }
 
 // send posts an order and returns the answer if the engine took the order.
-func (c *Client) send(ctx context.Context, once bool, e table.Endpoint, path string, in any) (*http.Response, error) {
+func (c *Client) send(ctx context.Context, attempt string, once bool, e table.Endpoint, path string, in any) (*http.Response, error) {
 	body, err := json.Marshal(in)
 	if err != nil {
 		return nil, adapter.ErrNotRun.Wrap(err, "encode order")
@@ -231,6 +234,10 @@
 	if err != nil {
 		return nil, httpcall.TypeAfter(err).Wrap(err, "engine %s", e.Name)
 	}
+	c.limits.Answered(limit.Answered{
+		Request: attempt, Endpoint: e.Name, Limit: relayapi.ParseLimit(resp.Header.Get(engineapi.HeaderLimit)),
+		Served: resp.StatusCode == http.StatusOK,
+	})
 	if err := refusalOf(resp); err != nil {
 		return nil, err
 	}
--- a/transport/plainhttp/plainhttp.go
+++ b/transport/plainhttp/plainhttp.go
@@ -11,6 +11,10 @@
 	"strings"
 
 	"runridge.example/runridge/coordination/adapter"
+	"runridge.example/runridge/coordination/limit"
+	"runridge.example/runridge/protocol/engineapi"
+	"runridge.example/runridge/protocol/relayapi"
+	"runridge.example/runridge/state/lifecycle"
 	"runridge.example/runridge/state/table"
 	"runridge.example/runridge/transport/httpcall"
 )
@@ -24,6 +28,8 @@
 	Body   io.Reader
 	// Length is the body's length, -1 if it is not known.
 	Length int64
+	// Attempt is what the call is made for.
+	Attempt lifecycle.AttemptID
 	// Once forbids the transport to send the call a second time by itself.
 	Once bool
 }
@@ -31,11 +37,12 @@
 // Client passes calls on.
 type Client struct {
 	clients httpcall.Clients
+	limits  *limit.Keeper
 }
 
-// New makes a client.
-func New() *Client {
-	return &Client{clients: httpcall.New()}
+// New makes a client, which notes the limits that endpoints name.
+func New(limits *limit.Keeper) *Client {
+	return &Client{clients: httpcall.New(), limits: limits}
 }
 
 // Close drops idle connections.
@@ -75,6 +82,10 @@
 	if err != nil {
 		return nil, httpcall.TypeAfter(err).Wrap(err, "endpoint %s", e.Name)
 	}
+	c.limits.Answered(limit.Answered{
+		Request: call.Attempt.String(), Endpoint: e.Name, Limit: relayapi.ParseLimit(resp.Header.Get(engineapi.HeaderLimit)),
+		Served: resp.StatusCode < http.StatusInternalServerError,
+	})
 	Strip(resp.Header)
 	return resp, nil
 }
