--- a/box/box.go
+++ b/box/box.go
@@ -150,8 +150,8 @@
 		settings: s,
 		options:  o,
 		regions:  locality.New(s.Regions),
-		limits:   limit.New(limit.Config{Log: o.Log}),
 	}
+	b.limits = limit.New(limit.Config{Log: o.Log, OnChange: func(l schedule.EngineLimit) { b.router.TellLimit(l) }})
 	b.engine, b.plain = enginehttp.New(b.limits), plainhttp.New(b.limits)
 	if o.Platform != nil {
 		counts := &callCounts{counts: make(map[string]int)}
--- a/box/merge.go
+++ b/box/merge.go
@@ -119,7 +119,7 @@
 
 // schedule gives the groups to all that schedules. The mutex is held.
 func (b *Box) schedule() {
-	b.router.SetLayout(b.merging.groups.Layout())
+	b.router.SetGroups(b.merging.groups)
 	b.homes.SetGroups(b.merging.groups)
 	if b.latest().Known() {
 		b.merging.known.Store(true)
--- a/box/routed.go
+++ b/box/routed.go
@@ -16,6 +16,7 @@
 	"runridge.example/runridge/coordination/dispatch"
 	"runridge.example/runridge/coordination/drain"
 	"runridge.example/runridge/coordination/follow"
+	"runridge.example/runridge/coordination/limit"
 	members "runridge.example/runridge/coordination/member"
 	"runridge.example/runridge/coordination/quota"
 	"runridge.example/runridge/coordination/registry"
@@ -253,10 +254,17 @@
 	// relay is nil on a box without routed services.
 	relay    *relay.Relay
 	dispatch *dispatch.Dispatcher
+	limits   *limit.Keeper
 }
 
 // Decide takes a decision for a request of this box.
 func (d decisions) Decide(from, group string, decision schedule.Decision) {
+	switch dec := decision.(type) {
+	case schedule.Grant:
+		d.limits.Heard(dec.Limits)
+	case schedule.Slot:
+		d.limits.Heard(dec.Limits)
+	}
 	if d.relay != nil && d.relay.Decide(from, group, decision) {
 		return
 	}
--- a/box/wire.go
+++ b/box/wire.go
@@ -148,6 +148,8 @@
 		}
 	case schedule.Adopted:
 		return boxwire.FromAdopted(c.Group, body)
+	case home.Limits:
+		return boxwire.FromLimits(c.Group, body.Of)
 	case home.Withdrawn:
 		return &boxwire.Withdraw{
 			About: boxwire.NewAbout(c.Group, body.ID),
@@ -255,6 +257,8 @@
 		offer(m.Group, home.Prefilled{ID: m.ID(sender), Computed: m.Computed, Worked: worked})
 	case *boxwire.Done:
 		offer(m.Group, m.Report(names, sender))
+	case *boxwire.Limits:
+		offer(m.Group, home.Limits{Of: m.Of(names)})
 	case *boxwire.Withdraw:
 		offer(m.Group, home.Withdrawn{ID: m.ID(sender)})
 	}
--- a/coordination/dispatch/ask.go
+++ b/coordination/dispatch/ask.go
@@ -22,6 +22,10 @@
 	event lifecycle.Granted
 	// move is the home's estimate for the transfer.
 	move time.Duration
+	// prefill and decode say for which engine the home has counted the attempt, held how
+	// long the ask was there.
+	prefill, decode bool
+	held            time.Duration
 }
 
 // queuedBy is a home's word that an ask waits there.
@@ -36,6 +40,8 @@
 	lifecycle.Event
 	event lifecycle.SlotReady
 	move  time.Duration
+	// counted says that the home has counted the attempt for the engine.
+	counted bool
 }
 
 type refusal struct {
@@ -74,6 +80,7 @@
 	v.first, v.last = time.Time{}, time.Time{}
 	v.askUntil = time.Now().Add(v.d.cfg.AskFor)
 	v.rank = 0
+	v.askedAt = make(map[string]time.Time)
 	v.sendAsk()
 }
 
@@ -101,6 +108,9 @@
 	}
 	v.home = boxes[v.rank%len(boxes)]
 	v.asked.Waited = time.Since(v.started)
+	if _, again := v.askedAt[v.home]; !again {
+		v.askedAt[v.home] = time.Now()
+	}
 	if v.d.cfg.Homes.Tell(v.home, v.group, v.asked) == ring.Full {
 		v.askTimer.Reset(v.d.cfg.FirstWord / fullPauseShare)
 	}
--- a/coordination/dispatch/dispatcher.go
+++ b/coordination/dispatch/dispatcher.go
@@ -13,6 +13,7 @@
 	"runridge.example/runridge/coordination/cleanup"
 	"runridge.example/runridge/coordination/dedup"
 	"runridge.example/runridge/coordination/home"
+	"runridge.example/runridge/coordination/limit"
 	"runridge.example/runridge/coordination/quarantine"
 	"runridge.example/runridge/modules/log"
 	"runridge.example/runridge/modules/metric"
@@ -65,6 +66,8 @@
 	Owners Owners
 	// Quarantine keeps poison requests from the engines; nil is none.
 	Quarantine *quarantine.Keeper
+	// Limits keeps the limits that endpoints name.
+	Limits *limit.Keeper
 	// Metrics, if set, counts requests that ended.
 	Metrics Metrics
 	// Window is how long answers are kept for repeats.
@@ -231,12 +234,15 @@
 		d.deliver(dec.Ask.ID, queuedBy{id: dec.Ask.ID, home: from})
 	case schedule.Slot:
 		event := lifecycle.SlotReady{Attempt: dec.Ask.ID.Number, Decode: dec.Decode}
-		d.deliver(dec.Ask.ID, slotFrom{event: event, move: dec.Move})
+		d.deliver(dec.Ask.ID, slotFrom{event: event, move: dec.Move, counted: dec.Paced})
 	}
 }
 
 func (d *Dispatcher) grant(from, group string, g schedule.Grant) {
-	event := grantFrom{id: g.Ask.ID, home: from, event: lifecycle.Granted{Plan: g.Plan}, move: g.Move}
+	event := grantFrom{
+		id: g.Ask.ID, home: from, event: lifecycle.Granted{Plan: g.Plan}, move: g.Move,
+		prefill: g.PacedPrefill, decode: g.PacedDecode, held: g.Held,
+	}
 	if d.deliver(g.Ask.ID, event) {
 		return
 	}
--- a/coordination/dispatch/driver.go
+++ b/coordination/dispatch/driver.go
@@ -11,6 +11,7 @@
 	"runridge.example/runridge/coordination/home"
 	"runridge.example/runridge/coordination/quarantine"
 	"runridge.example/runridge/state/lifecycle"
+	"runridge.example/runridge/state/pace"
 	"runridge.example/runridge/state/prefix"
 	"runridge.example/runridge/state/schedule"
 	"runridge.example/runridge/state/table"
@@ -50,7 +51,14 @@
 	rank     int
 	queued   bool
 	askUntil time.Time
-	report   schedule.Report
+	// askedAt is when each box was first asked the question under way: one that answers a
+	// repeat of it counts from the first.
+	askedAt map[string]time.Time
+	// counted is what the home has counted of the attempt, and reached says that its
+	// decode engine has been sent an order.
+	counted pace.Counted
+	reached bool
+	report  schedule.Report
 	// prefilledBy is what the prefill engine said of its work.
 	prefilledBy home.Prefilled
 	// moveTimeout bounds the transfer of the attempt.
@@ -121,11 +129,14 @@
 		}
 		v.askTimer.Stop()
 		v.home = ev.home
+		v.counted = pace.Counted{Prefill: ev.prefill, Decode: ev.decode, Granted: v.askedAt[ev.home].Add(ev.held)}
+		v.reached = false
 		v.expectMove(ev.move)
 		v.step(ev.event)
 	case slotFrom:
 		if ev.event.Attempt == v.machine.Attempt {
 			v.expectMove(ev.move)
+			v.counted.Decode, v.counted.Prefilled = ev.counted, time.Now()
 		}
 		v.step(ev.event)
 	case refusal:
@@ -137,6 +148,7 @@
 		}
 	case prefilled:
 		v.prefilledBy = ev.report
+		v.counted.Prefilled = time.Now()
 		v.step(ev.event)
 	case failure:
 		v.takeFailure(ev)
@@ -159,7 +171,7 @@
 	if f.event.Ran != lifecycle.NotRun {
 		v.suspect.BrokeOff(f.event.Engine, f.broke, time.Since(v.work.begun))
 	}
-	if !f.event.Gone {
+	if !f.event.Gone && !f.notCounted {
 		v.report.Failed = f.event.Engine
 	}
 	f.event.Retry = !f.final && v.machine.Attempt < v.d.cfg.MaxAttempts && v.d.mayRetry()
--- a/coordination/dispatch/orders.go
+++ b/coordination/dispatch/orders.go
@@ -31,7 +31,12 @@
 	}
 	attempt, prompt := v.attempt(), v.prompt()
 	engine, ok := v.endpoint(e.Engine)
+	may := v.mayPrefill(e.Engine)
 	v.order(func(ctx context.Context) {
+		if !may {
+			v.leaveOut(e.Attempt, e.Engine)
+			return
+		}
 		if !ok {
 			v.fail(e.Attempt, e.Engine, notInTable(), lifecycle.ReasonRouteRemoved)
 			return
@@ -74,7 +79,12 @@
 		OutputTokens: v.request.OutputTokens - v.machine.Emitted,
 	}
 	patience := v.moveTimeout
+	may := v.mayDecode(e.To)
 	v.order(func(ctx context.Context) {
+		if !may {
+			v.leaveOut(e.Attempt, e.To)
+			return
+		}
 		if !ok || !known {
 			v.fail(e.Attempt, e.To, notInTable(), lifecycle.ReasonRouteRemoved)
 			return
@@ -124,7 +134,12 @@
 		p := v.prompt()
 		order.Recompute = &p
 	}
+	may := v.mayDecode(e.Engine)
 	v.order(func(ctx context.Context) {
+		if !may {
+			v.leaveOut(e.Attempt, e.Engine)
+			return
+		}
 		if !ok {
 			v.fail(e.Attempt, e.Engine, notInTable(), lifecycle.ReasonRouteRemoved)
 			return
@@ -236,6 +251,9 @@
 	// exchange broke off, if it did.
 	final bool
 	broke adapter.Break
+	// notCounted says that nothing was sent, as no home has counted the attempt for the
+	// engine, which is not to blame.
+	notCounted bool
 }
 
 // endpoint finds an engine in the table in force, and remembers it: what it
--- a/coordination/home/cold.go
+++ b/coordination/home/cold.go
@@ -92,12 +92,18 @@
 		return nil
 	}
 	return func(now time.Time) int {
-		standing := h.cfg.Standing(group)
-		if !h.cold.resumed.IsZero() {
-			standing.For = min(standing.For, now.Sub(h.cold.resumed))
-		}
-		return h.cold.bound.Load().Limit(s.ColdPace, standing)
+		return h.cold.bound.Load().Limit(s.ColdPace, h.standing(group, now))
+	}
+}
+
+// standing is this box's part in a group. One that stood still counts as having just
+// become home: another box may have been it meanwhile.
+func (h *Homes) standing(group string, now time.Time) pace.Standing {
+	s := h.cfg.Standing(group)
+	if !h.cold.resumed.IsZero() {
+		s.For = min(s.For, now.Sub(h.cold.resumed))
 	}
+	return s
 }
 
 // reportCold shows operators which endpoints have become cold or warm.
--- a/coordination/home/configure.go
+++ b/coordination/home/configure.go
@@ -129,11 +129,12 @@
 	}
 	return schedule.Config{
 		Targets:       targets(s),
-		Engines:       engineSpecs(spec),
+		Engines:       engineSpecs(t, spec),
 		LinkRate:      t.LinkRate,
 		AccountWeight: func(name string) int { return weights[name].Weight },
 		AccountLimit:  func(name string) int { return weights[name].MaxInFlight },
 		ColdLimit:     h.coldLimit(spec.Key, s),
+		LimitShare:    h.limitShare(spec.Key),
 		Growing:       s.Engine != nil,
 		Plain:         s.Kind == table.KindPlain,
 		Policy:        h.cfg.Policy,
@@ -164,7 +165,7 @@
 // plainRate makes a plain call's prefill cost nothing.
 const plainRate = 1e12
 
-func engineSpecs(spec *table.Group) []schedule.EngineSpec {
+func engineSpecs(t table.Table, spec *table.Group) []schedule.EngineSpec {
 	out := make([]schedule.EngineSpec, 0, len(spec.Members))
 	for _, m := range spec.Members {
 		e := m.Endpoint
@@ -186,6 +187,7 @@
 			Leaving:         e.Leaving,
 			Weight:          m.Weight,
 			ColdUntil:       m.ColdUntil,
+			SharedBy:        t.ServicesOf(e),
 		})
 	}
 	return out
--- a/coordination/home/home.go
+++ b/coordination/home/home.go
@@ -24,7 +24,7 @@
 )
 
 // Body is what a box tells a home: schedule.Ask, schedule.Adopted,
-// schedule.Report, Prefilled or Withdrawn; and what the home's own watch of
+// schedule.Report, Prefilled, Withdrawn or Limits; and what the home's own watch of
 // its engines tells it: schedule.Load or Evicted.
 type Body any
 
@@ -40,6 +40,11 @@
 	ID lifecycle.AttemptID
 }
 
+// Limits tells what a box knows of limits that endpoints of the group name.
+type Limits struct {
+	Of []schedule.EngineLimit
+}
+
 // Command is one message to a home.
 type Command struct {
 	// From is the box that speaks.
@@ -102,7 +107,7 @@
 	// ColdBound bounds what cold endpoints get; SetColdBound replaces it.
 	ColdBound pace.Bound
 	// Standing, if set, is this box's part in a group that it may be home of. Without
-	// it cold endpoints are not bounded.
+	// it cold endpoints are not bounded, and the whole of their limits is granted here.
 	Standing func(group string) pace.Standing
 	// Metrics, if set, counts what cold endpoints get.
 	Metrics Metrics
@@ -149,6 +154,7 @@
 	groups   map[string]*running
 	start    time.Time
 	cold     coldDuty
+	limits   atomic.Pointer[[]LimitedEndpoint]
 }
 
 // running is a group that this box is home of.
@@ -292,9 +298,13 @@
 	}
 	switch body := c.Body.(type) {
 	case schedule.Ask:
+		h.nameLimits(now, c, g, body.Limits)
 		h.answer(c.Group, g.Ask(now, body))
 	case schedule.Adopted:
+		h.nameLimits(now, c, g, body.Ask.Limits)
 		g.Adopt(now, body)
+	case Limits:
+		h.nameLimits(now, c, g, body.Of)
 	case Prefilled:
 		h.answer(c.Group, g.Prefilled(now, body.ID, body.Computed, body.Worked))
 	case schedule.Report:
@@ -344,6 +354,7 @@
 		h.retire(now)
 		h.check(oldGrant, oldPlain)
 		h.reportCold(now)
+		h.reportLimits(now)
 	}
 	if now.Sub(h.planned) >= planEvery {
 		h.planned = now
--- a/coordination/home/router.go
+++ b/coordination/home/router.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"runridge.example/runridge/coordination/limit"
 	"runridge.example/runridge/modules/ring"
 	"runridge.example/runridge/state/group"
 	"runridge.example/runridge/state/lifecycle"
@@ -45,8 +46,14 @@
 	// ranks are the orders that were worked out since the boxes last changed.
 	ranks atomic.Pointer[ranks]
 
+	// limits are those that endpoints name, as far as this box knows; nil is none.
+	limits *limit.Keeper
+	// turn counts the questions.
+	turn atomic.Uint64
+
 	// mutex guards the layout that homes are worked out from.
 	mutex  sync.Mutex
+	groups atomic.Pointer[group.Groups]
 	layout atomic.Pointer[group.Layout]
 	homes  atomic.Pointer[map[string]string]
 	// since is from when this box is the home of its groups, and liveSince from when
@@ -74,10 +81,12 @@
 	return r
 }
 
-// Connect names this box's own home duty and dispatcher.
-func (r *Router) Connect(local *Homes, here Decisions) {
+// Connect names this box's own home duty, its dispatcher, and what knows the limits that
+// endpoints name; nil knows none.
+func (r *Router) Connect(local *Homes, here Decisions, limits *limit.Keeper) {
 	r.local = local
 	r.here = here
+	r.limits = limits
 }
 
 // SetLive replaces the list of live boxes, and of those among them that homes
@@ -93,7 +102,13 @@
 	r.assign()
 }
 
-// SetLayout replaces the groups.
+// SetGroups replaces the groups and their layout.
+func (r *Router) SetGroups(g group.Groups) {
+	r.groups.Store(&g)
+	r.SetLayout(g.Layout())
+}
+
+// SetLayout replaces which groups there are.
 func (r *Router) SetLayout(l *group.Layout) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
@@ -238,8 +253,17 @@
 	return (*r.homes.Load())[key]
 }
 
-// Tell sends a body to the named home.
+// Tell sends a body to the named home. What asks for a plan, or takes one along, tells what
+// this box knows of the limits that the group's endpoints name.
 func (r *Router) Tell(box, group string, body Body) ring.Outcome {
+	switch b := body.(type) {
+	case schedule.Ask:
+		b.Limits = r.limitsOf(group)
+		body = b
+	case schedule.Adopted:
+		b.Ask.Limits = r.limitsOf(group)
+		body = b
+	}
 	c := Command{From: r.self, Group: group, Body: body}
 	if box == r.self {
 		return r.local.Offer(c)
@@ -247,6 +271,37 @@
 	return r.peers.SendCommand(box, c)
 }
 
+// limitsOf is what this box knows of the limits that a group's endpoints name.
+func (r *Router) limitsOf(key string) []schedule.EngineLimit {
+	groups := r.groups.Load()
+	if groups == nil {
+		return nil
+	}
+	g, ok := groups.Get(key)
+	if !ok {
+		return nil
+	}
+	return r.limits.Known(g.Members, r.turn.Add(1))
+}
+
+// TellLimit tells the homes of an endpoint's groups of the limit that it names.
+func (r *Router) TellLimit(l schedule.EngineLimit) {
+	groups := r.groups.Load()
+	if groups == nil {
+		return
+	}
+	for _, key := range groups.Layout().Keys() {
+		g, ok := groups.Get(key)
+		if !ok || !slices.ContainsFunc(g.Members, func(m table.Member) bool { return m.Endpoint.Name == l.Engine }) {
+			continue
+		}
+		if box := r.HomeOf(key); box != "" {
+			// One that is lost goes with the next question.
+			_ = r.Tell(box, key, Limits{Of: []schedule.EngineLimit{l}})
+		}
+	}
+}
+
 // Answer takes a decision to the box that asked.
 func (r *Router) Answer(box, group string, d schedule.Decision) {
 	if box == r.self {
--- a/coordination/limit/limit.go
+++ b/coordination/limit/limit.go
@@ -2,20 +2,27 @@
 // SPDX-License-Identifier: MIT
 
 // Package limit keeps the limits that endpoints name in their answers, as far as this box
-// has been told of them.
+// has been told of them: by the endpoints themselves, or by the homes of their groups. Homes
+// count what is sent; a box tells them what it knows with each question.
 package limit
 
 import (
+	"slices"
 	"sync"
 	"time"
 
 	"runridge.example/runridge/modules/log"
 	"runridge.example/runridge/state/pace"
+	"runridge.example/runridge/state/schedule"
+	"runridge.example/runridge/state/table"
 )
 
 // Config configures a Keeper.
 type Config struct {
-	Log log.Logger
+	// OnChange, if set, is called when an endpoint's answer changes what is known of its
+	// limit. It must not block.
+	OnChange func(l schedule.EngineLimit)
+	Log      log.Logger
 	// Now is the clock; nil is that of the machine.
 	Now func() time.Time
 }
@@ -55,18 +62,17 @@
 	return &Keeper{cfg: cfg, known: make(map[string]known)}
 }
 
-// Answered takes in what an answer says of its endpoint, and reports whether that is
-// another limit than was known.
-func (k *Keeper) Answered(a Answered) bool {
+// Answered takes in what an answer says of its endpoint.
+func (k *Keeper) Answered(a Answered) {
 	if k == nil || !a.Limit.Named && !a.Served {
-		return false
+		return
 	}
 	k.mutex.Lock()
 	before := k.known[a.Endpoint]
 	k.keep(a.Endpoint, known{limit: a.Limit, at: k.cfg.Now()})
 	k.mutex.Unlock()
 	if before.limit == a.Limit {
-		return false
+		return
 	}
 	k.cfg.Log.WithFields(log.Fields{
 		log.FieldRequest: a.Request,
@@ -76,7 +82,61 @@
 		"named_before":   before.limit.Named,
 		"before":         before.limit.PerSecond,
 	}).Info("endpoint_limit_told")
-	return true
+	if k.cfg.OnChange != nil {
+		k.cfg.OnChange(schedule.EngineLimit{Engine: a.Endpoint, Limit: a.Limit})
+	}
+}
+
+// Heard takes in what a group's home knows, where that is later than what is known here.
+func (k *Keeper) Heard(limits []schedule.EngineLimit) {
+	if k == nil || len(limits) == 0 {
+		return
+	}
+	now := k.cfg.Now()
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	for _, l := range limits {
+		if at := now.Add(-l.Age); at.After(k.known[l.Engine].at) {
+			k.keep(l.Engine, known{limit: l.Limit, at: at})
+		}
+	}
+}
+
+// maxTold bounds the limits that go with one question.
+const maxTold = 16
+
+// Known lists what is known of some endpoints: of many a part, another one at each turn.
+func (k *Keeper) Known(endpoints []table.Member, turn uint64) []schedule.EngineLimit {
+	if k == nil {
+		return nil
+	}
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if len(k.known) == 0 {
+		return nil
+	}
+	now := k.cfg.Now()
+	var out []schedule.EngineLimit
+	for _, m := range endpoints {
+		if of, ok := k.known[m.Endpoint.Name]; ok {
+			out = append(out, schedule.EngineLimit{Engine: m.Endpoint.Name, Limit: of.limit, Age: now.Sub(of.at)})
+		}
+	}
+	if len(out) <= maxTold {
+		return out
+	}
+	first := int(turn % uint64(len(out)))
+	return slices.Concat(out[first:], out[:first])[:maxTold]
+}
+
+// Names says whether an endpoint names a limit, as far as this box knows.
+func (k *Keeper) Names(endpoint string) bool {
+	if k == nil {
+		return false
+	}
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	return k.known[endpoint].limit.Named
 }
 
 // keep replaces what is known of an endpoint; with too many, the one that was heard of the
@@ -101,13 +161,3 @@
 	}
 	delete(k.known, oldest)
 }
-
-// Of is the limit that an endpoint names, as far as this box knows.
-func (k *Keeper) Of(endpoint string) pace.Limit {
-	if k == nil {
-		return pace.Limit{}
-	}
-	k.mutex.Lock()
-	defer k.mutex.Unlock()
-	return k.known[endpoint].limit
-}
--- /dev/null
+++ b/coordination/limit/limit_test.go
@@ -0,0 +1,120 @@
+// Copyright 2026 The Runridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package limit
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"runridge.example/runridge/modules/log"
+	"runridge.example/runridge/state/pace"
+	"runridge.example/runridge/state/schedule"
+	"runridge.example/runridge/state/table"
+)
+
+var three = pace.LimitOf(3)
+
+// keeper keeps limits by a clock that the test sets, and notes what changes.
+func keeper(now *time.Time) (k *Keeper, changes *[]schedule.EngineLimit) {
+	changes = new([]schedule.EngineLimit)
+	return New(Config{
+		Log: log.Discard(), Now: func() time.Time { return *now },
+		OnChange: func(l schedule.EngineLimit) { *changes = append(*changes, l) },
+	}), changes
+}
+
+func members(endpoints ...string) []table.Member {
+	var out []table.Member
+	for _, e := range endpoints {
+		out = append(out, table.Member{Endpoint: table.Endpoint{Name: e}})
+	}
+	return out
+}
+
+func TestAnswers(t *testing.T) {
+	cases := map[string]struct {
+		answers []Answered
+		names   bool
+		changes int
+	}{
+		"one that names a limit":           {answers: []Answered{{Limit: three, Served: true}}, names: true, changes: 1},
+		"another one":                      {answers: []Answered{{Limit: three, Served: true}, {Limit: three, Served: true}}, names: true, changes: 1},
+		"another limit":                    {answers: []Answered{{Limit: three, Served: true}, {Limit: pace.LimitOf(2)}}, names: true, changes: 2},
+		"one that turns the request away":  {answers: []Answered{{Limit: three}}, names: true, changes: 1},
+		"one that names none":              {answers: []Answered{{Limit: three}, {Served: true}}, changes: 2},
+		"none named, turned away":          {answers: []Answered{{Limit: three}, {}}, names: true, changes: 1},
+		"none named where none was before": {answers: []Answered{{Served: true}}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(0, 0)
+			k, changes := keeper(&now)
+			for _, a := range c.answers {
+				a.Endpoint = "e"
+				k.Answered(a)
+			}
+			if k.Names("e") != c.names || len(*changes) != c.changes {
+				t.Errorf("names a limit: %v with %d changes, want %v with %d", k.Names("e"), len(*changes), c.names, c.changes)
+			}
+		})
+	}
+}
+
+func TestLaterWordCounts(t *testing.T) {
+	now := time.Unix(10, 0)
+	k, changes := keeper(&now)
+	k.Answered(Answered{Endpoint: "e", Limit: three})
+	now = now.Add(time.Second)
+	k.Heard([]schedule.EngineLimit{{Engine: "e", Age: 2 * time.Second}})
+	if !k.Names("e") {
+		t.Error("an older end of a limit counts")
+	}
+	k.Heard([]schedule.EngineLimit{{Engine: "e", Age: 500 * time.Millisecond}, {Engine: "f", Limit: three, Age: time.Second}})
+	if k.Names("e") || !k.Names("f") {
+		t.Error("what a home knows later does not count")
+	}
+	if len(*changes) != 1 {
+		t.Errorf("%d changes are told on, want that of the answer alone", len(*changes))
+	}
+}
+
+func TestKnownIsBounded(t *testing.T) {
+	now := time.Unix(0, 0)
+	k, _ := keeper(&now)
+	var all []string
+	for i := range maxKnown + 1 {
+		now = now.Add(time.Second)
+		all = append(all, fmt.Sprintf("e%d", i))
+		k.Answered(Answered{Endpoint: all[i], Limit: three})
+	}
+	if len(k.known) != maxKnown || k.Names(all[0]) || !k.Names(all[1]) {
+		t.Errorf("%d are kept, the oldest among them: %v", len(k.known), k.Names(all[0]))
+	}
+	group, told := members(all[1:2*maxTold+1]...), make(map[string]bool)
+	for turn := range uint64(3 * maxTold) {
+		some := k.Known(group, turn)
+		if len(some) != maxTold {
+			t.Fatalf("%d go with a question, want %d", len(some), maxTold)
+		}
+		for _, l := range some {
+			told[l.Engine] = true
+		}
+	}
+	if len(told) != len(group) {
+		t.Errorf("%d of %d are told in turn", len(told), len(group))
+	}
+	if got := k.Known(members("e2", "other"), 0); len(got) != 1 || got[0].Age != now.Sub(time.Unix(3, 0)) {
+		t.Errorf("of another group %+v is told", got)
+	}
+}
+
+func TestNoKeeper(t *testing.T) {
+	var k *Keeper
+	k.Answered(Answered{Endpoint: "e", Limit: three})
+	k.Heard([]schedule.EngineLimit{{Engine: "e", Limit: three}})
+	if k.Names("e") || k.Known(members("e"), 0) != nil {
+		t.Error("without a keeper a limit is kept")
+	}
+}
--- a/coordination/relay/exchange.go
+++ b/coordination/relay/exchange.go
@@ -100,7 +100,7 @@
 		return result{kind: unsent, endpoint: id, reason: reason}
 	}
 	if !v.mayPrefill(id) {
-		return result{kind: unsent, endpoint: id, reason: reasonCold}
+		return result{kind: unsent, endpoint: id, reason: reasonNotCounted}
 	}
 	if !v.mayArrive() {
 		return result{kind: refused, reason: "retry_budget", retryAfter: leastRetry}
@@ -139,7 +139,7 @@
 	v.mutex.Lock()
 	v.adopted.Prefilled = true
 	v.mutex.Unlock()
-	v.paced.prefilled = v.r.cfg.Now()
+	v.counted.Prefilled = v.r.cfg.Now()
 	v.tell(home.Prefilled{ID: a.ID, Computed: tokens, Worked: v.r.cfg.Now().Sub(begin)})
 	v.kept = &keptResult{engine: engine, handle: handle, made: v.r.cfg.Now()}
 	v.r.cfg.Log.WithFields(log.Fields{
@@ -206,7 +206,7 @@
 		return result{kind: unsent, endpoint: id, reason: reason}
 	}
 	if !v.mayDecode(id) {
-		return result{kind: unsent, endpoint: id, reason: reasonCold}
+		return result{kind: unsent, endpoint: id, reason: reasonNotCounted}
 	}
 	if !v.mayArrive() {
 		return result{kind: refused, reason: "retry_budget", retryAfter: leastRetry}
--- a/coordination/relay/cold_test.go
+++ b/coordination/relay/paced_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"runridge.example/runridge/coordination/limit"
 	"runridge.example/runridge/modules/log"
 	"runridge.example/runridge/state/directory"
 	"runridge.example/runridge/state/pace"
@@ -84,9 +85,9 @@
 		t.Run(name, func(t *testing.T) {
 			now := asked.Add(c.after)
 			v := coldRun(someBound, now)
-			v.paced = pacedBy(c.grant, asked)
+			v.counted = countedBy(c.grant, asked)
 			if c.told > 0 {
-				v.paced.prefilled = now.Add(-c.told)
+				v.counted.Prefilled = now.Add(-c.told)
 			}
 			if got := v.mayPrefill(c.endpoint); got != c.prefill {
 				t.Errorf("may prefill: %v, want %v", got, c.prefill)
@@ -97,3 +98,39 @@
 		})
 	}
 }
+
+// TestSendsToLimitedEndpoints holds that an endpoint which names a limit gets only what a home
+// has counted, and nothing from a box that places alone.
+func TestSendsToLimitedEndpoints(t *testing.T) {
+	now := time.Now()
+	cases := map[string]struct {
+		grant schedule.Grant
+		after time.Duration
+		sent  bool
+	}{
+		"counted":                       {grant: schedule.Grant{PacedPrefill: true, PacedDecode: true}, sent: true},
+		"counted long ago":              {grant: schedule.Grant{PacedPrefill: true, PacedDecode: true}, after: pace.SendWithin + 1},
+		"by a home that does not count": {},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			v := coldRun(pace.Bound{}, now.Add(c.after))
+			v.r.cfg.Limits = limit.New(limit.Config{Log: log.Discard()})
+			v.r.cfg.Limits.Answered(limit.Answered{Endpoint: "warm", Limit: pace.LimitOf(1)})
+			v.counted = countedBy(c.grant, now)
+			if v.mayPrefill("warm") != c.sent || v.mayDecode("warm") != c.sent {
+				t.Errorf("may prefill %v, decode %v, want %v", v.mayPrefill("warm"), v.mayDecode("warm"), c.sent)
+			}
+			v.counted = pace.Counted{}
+			if !v.mayPrefill("cold") || !v.mayDecode("cold") {
+				t.Error("an endpoint that names no limit gets nothing")
+			}
+			for n := range uint64(8) {
+				v.id.Sequence = n
+				if got := v.placeAlone().Decode; got != "cold" {
+					t.Errorf("placed alone at %q", got)
+				}
+			}
+		})
+	}
+}
--- a/coordination/relay/record.go
+++ b/coordination/relay/record.go
@@ -84,6 +84,8 @@
 		"decode":            plan.Decode,
 		"distance":          v.distance(d, plan).String(),
 		"reuse":             plan.Reuse,
+		"counted_prefill":   v.counted.Prefill,
+		"counted_decode":    v.counted.Decode,
 		"after_event":       v.lastEvent,
 		"avoided":           len(a.Avoid),
 		"directory":         d.Revision(),
--- a/coordination/relay/run.go
+++ b/coordination/relay/run.go
@@ -16,6 +16,7 @@
 	"runridge.example/runridge/modules/log"
 	"runridge.example/runridge/state/lifecycle"
 	"runridge.example/runridge/state/locality"
+	"runridge.example/runridge/state/pace"
 	"runridge.example/runridge/state/route"
 	"runridge.example/runridge/state/schedule"
 	"runridge.example/runridge/state/table"
@@ -100,8 +101,8 @@
 	// plan is that of the latest attempt; alone says that no home made it.
 	plan  lifecycle.Plan
 	alone bool
-	// paced is what its home has counted of it for cold endpoints.
-	paced paced
+	// counted is what its home has counted of it.
+	counted pace.Counted
 	// reason is what ended or failed the latest attempt.
 	reason string
 	// age is how long before its arrival the caller first tried, as far as the
@@ -279,7 +280,7 @@
 		}
 	}
 	plan := said.grant.Plan
-	v.paced = pacedBy(said.grant, said.asked)
+	v.counted = countedBy(said.grant, said.asked)
 	if said.alone {
 		plan = v.placeAlone()
 	}
@@ -290,7 +291,7 @@
 	v.steps, v.stepTime = 0, 0
 	res := v.carryOut(ctx, a, plan)
 	report.Finished = res.kind == delivered
-	if res.reason != reasonCold {
+	if res.reason != reasonNotCounted {
 		report.Failed = res.endpoint
 	}
 	report.Unreached = res.unreached
--- a/coordination/relay/where.go
+++ b/coordination/relay/where.go
@@ -67,12 +67,12 @@
 }
 
 // placeAlone chooses endpoints without a home: any that the request may go to and has
-// not met. A cold one is left out, since nobody counts what it gets.
+// not met. One that is cold or names a limit is left out, since nobody counts what it gets.
 func (v *run) placeAlone() lifecycle.Plan {
 	var fit []string
 	for _, w := range v.r.cfg.Directory.Directory().Statuses(v.service.Name) {
 		_, ok := v.fits(w)
-		if ok && w.Stage != directory.StagePrefill && !slices.Contains(v.avoid, w.ID) && !v.isCold(w) {
+		if ok && w.Stage != directory.StagePrefill && !slices.Contains(v.avoid, w.ID) && !v.bounded(w.ID) {
 			fit = append(fit, w.ID)
 		}
 	}
--- a/protocol/boxwire/boxwire.go
+++ b/protocol/boxwire/boxwire.go
@@ -56,6 +56,7 @@
 	KindDrainedPull
 	KindSuspects
 	KindSuspectsPull
+	KindLimits
 	// kindEnd comes after the last.
 	kindEnd
 )
@@ -195,6 +196,8 @@
 
 	KindSuspects:     func() Message { return &Suspects{} },
 	KindSuspectsPull: func() Message { return &SuspectsPull{} },
+
+	KindLimits: func() Message { return &Limits{} },
 }
 
 // Append adds the frame of a message to buf, as builds of a version read it.
--- a/protocol/boxwire/grant.go
+++ b/protocol/boxwire/grant.go
@@ -18,11 +18,12 @@
 	Decode  Ref
 	Reuse   bool
 	MoveMS  int64
-	// PacedPrefill and PacedDecode say that the engine is cold, and HeldMS how long
-	// the ask was at the home.
+	// PacedPrefill and PacedDecode say that the request was counted for an engine that is
+	// cold or names a limit, and HeldMS how long the ask was at the home.
 	PacedPrefill bool
 	PacedDecode  bool
 	HeldMS       int64
+	Limits       []Limit
 }
 
 // Kind is KindGrant.
@@ -41,6 +42,7 @@
 		PacedPrefill: d.PacedPrefill,
 		PacedDecode:  d.PacedDecode,
 		HeldMS:       d.Held.Milliseconds(),
+		Limits:       fromLimits(d.Limits),
 	}
 }
 
@@ -57,6 +59,7 @@
 		PacedPrefill: g.PacedPrefill,
 		PacedDecode:  g.PacedDecode,
 		Held:         time.Duration(g.HeldMS) * time.Millisecond,
+		Limits:       limitsOf(n, g.Limits),
 	}, known && found
 }
 
--- a/protocol/boxwire/group.go
+++ b/protocol/boxwire/group.go
@@ -73,6 +73,7 @@
 	Late       bool
 	GiveUpMS   int64
 	TravelMS   int64
+	Limits     []Limit
 }
 
 // Refuse turns an ask away.
@@ -87,6 +88,8 @@
 	About
 	Decode Ref
 	MoveMS int64
+	Paced  bool
+	Limits []Limit
 }
 
 // Queued tells that an ask waits.
@@ -183,6 +186,7 @@
 		Late:         a.Late,
 		GiveUpMS:     a.GiveUp.Milliseconds(),
 		TravelMS:     a.Travel.Milliseconds(),
+		Limits:       fromLimits(a.Limits),
 	}
 	for _, hash := range a.Marks {
 		m.Marks = append(m.Marks, uint32(hash))
@@ -220,6 +224,7 @@
 		Late:         a.Late,
 		GiveUp:       time.Duration(a.GiveUpMS) * time.Millisecond,
 		Travel:       time.Duration(a.TravelMS) * time.Millisecond,
+		Limits:       limitsOf(n, a.Limits),
 	}
 	for i, hash := range a.Marks {
 		out.Marks = append(out.Marks, uint64(hash))
@@ -243,7 +248,10 @@
 			RetryAfterMS: int(d.RetryAfter.Milliseconds()),
 		}
 	case schedule.Slot:
-		return &Slot{About: NewAbout(group, d.Ask.ID), Decode: RefOf(d.Decode), MoveMS: d.Move.Milliseconds()}
+		return &Slot{
+			About: NewAbout(group, d.Ask.ID), Decode: RefOf(d.Decode), MoveMS: d.Move.Milliseconds(),
+			Paced: d.Paced, Limits: fromLimits(d.Limits),
+		}
 	case schedule.Queued:
 		return &Queued{About: NewAbout(group, d.Ask.ID)}
 	default:
@@ -267,6 +275,8 @@
 		Ask:    schedule.Ask{ID: s.ID(o)},
 		Decode: decode,
 		Move:   time.Duration(s.MoveMS) * time.Millisecond,
+		Paced:  s.Paced,
+		Limits: limitsOf(n, s.Limits),
 	}, known
 }
 
--- a/protocol/boxwire/kinds.go
+++ b/protocol/boxwire/kinds.go
@@ -36,6 +36,8 @@
 
 	KindSuspects:     "suspects",
 	KindSuspectsPull: "suspects_pull",
+
+	KindLimits: "limits",
 }
 
 // String names the kind for logs and metrics.
--- a/protocol/boxwire/version.go
+++ b/protocol/boxwire/version.go
@@ -15,9 +15,11 @@
 	// VersionLoose builds read fields by position, however many there are, and pass over
 	// kinds that they don't know.
 	VersionLoose
+	// VersionLimits builds know of the limits that endpoints name.
+	VersionLimits
 
 	// VersionNow is that of this build.
-	VersionNow = VersionLoose
+	VersionNow = VersionLimits
 )
 
 // since is the first version that reads a kind, where that is not VersionNone.
@@ -25,6 +27,7 @@
 	// Some builds without a version read these two.
 	KindSuspects:     VersionLoose,
 	KindSuspectsPull: VersionLoose,
+	KindLimits:       VersionLimits,
 }
 
 // Reads says whether builds of this version read messages of a kind.
--- a/protocol/boxwire/version_test.go
+++ b/protocol/boxwire/version_test.go
@@ -47,7 +47,10 @@
 	m.Message.Updates = []member.Box{{Name: "d", Wire: uint16(VersionNow)}}
 	update := withChanges(all["update"].(*Update), 1)
 	update.Update.Changes[0].Entry.Born = 1_800_000_000_125
-	return map[string]Message{"hello": &hello, "member": &m, "update": update}
+	limits := []Limit{{Engine: 15, Named: true, PerSecond: 2.8, AgeMS: 40}, {Engine: 16}}
+	ask, grant, slot := *all["ask"].(*Ask), *all["grant"].(*Grant), *all["slot"].(*Slot)
+	ask.Limits, grant.Limits, slot.Limits, slot.Paced = limits, limits, limits, true
+	return map[string]Message{"hello": &hello, "member": &m, "update": update, "ask": &ask, "grant": &grant, "slot": &slot}
 }
 
 // framesIn reads a file of frames by name.
--- a/state/pace/oracle_test.go
+++ b/state/pace/oracle_test.go
@@ -37,6 +37,8 @@
 	begin, ends time.Duration
 	// began is when it became home, which may be long before begin.
 	began time.Duration
+	// standsIn is from when it is asked in place of a silent home; 0 is not before begin.
+	standsIn time.Duration
 	// seen are the boxes that it sees.
 	seen int
 }
@@ -72,11 +74,13 @@
 	switch rapid.SampledFrom([]string{"killed", "cut off", "moved", "returned", "frozen", "partition"}).Draw(t, "how") {
 	case "killed":
 		home.ends = now
+		next.standsIn = now + draw(0, spread, "asked")
 		next.begin = now + draw(detection, detection+spread, "detected")
 	case "cut off":
 		// Those behind the cut reach it, and it does not know yet.
 		seen := now + draw(detection, detection+spread, "detected")
 		home.ends = draw(seen-spread, seen+spread, "known here")
+		next.standsIn = now + draw(0, spread, "asked")
 		next.begin = seen
 	case "moved":
 		// Two live boxes that agree within the spread.
@@ -93,6 +97,7 @@
 		return home
 	case "frozen":
 		home.ends = now
+		next.standsIn = now + draw(0, spread, "asked")
 		next.begin = now + draw(detection, detection+spread, "detected")
 		// It goes on as one that has just become home, until it hears.
 		thawed := now + draw(stillFor, 6*time.Second, "frozen for")
--- a/state/schedule/admit.go
+++ b/state/schedule/admit.go
@@ -44,11 +44,11 @@
 	g.accounts.charge(a.Account, float64(c.PrefillNS)/float64(g.accountWeight(a.Account)), t)
 	gr.firstToken = time.Duration(c.FirstTokenNS)
 	gr.move = g.moveTime(t, gr)
-	return g.grantOf(gr)
+	return g.grantOf(t, gr)
 }
 
 // grantOf is the decision that a grant stands for.
-func (g *Group) grantOf(gr *grant) Grant {
+func (g *Group) grantOf(t int64, gr *grant) Grant {
 	plan := lifecycle.Plan{Mode: gr.mode, Reuse: gr.reuse}
 	if gr.prefill != none {
 		plan.Prefill = g.engines[gr.prefill].spec.Name
@@ -63,6 +63,7 @@
 		Move:         gr.move,
 		PacedPrefill: gr.pacedPrefill,
 		PacedDecode:  gr.pacedDecode,
+		Limits:       g.limitsFor(t, gr),
 		Held:         time.Duration(gr.granted - gr.asked),
 	}
 }
@@ -205,7 +206,10 @@
 		g.take(gr)
 		g.takeDecodePace(t, gr)
 		g.bookLink(t, gr)
-		out = append(out, Slot{Ask: gr.ask, Decode: g.engines[d].spec.Name, Move: g.moveTime(t, gr)})
+		out = append(out, Slot{
+			Ask: gr.ask, Decode: g.engines[d].spec.Name, Move: g.moveTime(t, gr),
+			Paced: gr.pacedDecode, Limits: g.limitsFor(t, gr),
+		})
 		return true
 	})
 	return out
--- a/state/schedule/group.go
+++ b/state/schedule/group.go
@@ -63,6 +63,7 @@
 	cold  bool
 	warm  speed
 	paced pace.Window
+	limit limited
 }
 
 // unknownReports is how many reports must agree before the group believes
@@ -86,8 +87,8 @@
 	reuse    bool
 	// asked is when the ask came; held is the time from then to the grant.
 	asked int64
-	// paced says what was counted for cold engines, and openDecode that the decode
-	// is still to be sent to one.
+	// paced says what was counted for cold engines and those with a limit, and openDecode
+	// that the decode is still to be sent to a cold one.
 	pacedPrefill, pacedDecode, openDecode bool
 	// firstToken and move are the estimates given with the grant.
 	firstToken, move time.Duration
@@ -181,7 +182,7 @@
 func (g *Group) Ask(now time.Time, a Ask) []Decision {
 	if gr, twice := g.grants[a.ID]; twice {
 		// The answer was lost; it stands as it was.
-		return []Decision{g.grantOf(gr)}
+		return []Decision{g.grantOf(sinceStart(g.start, now), gr)}
 	}
 	if g.waits(a.ID) {
 		return []Decision{Queued{Ask: a}}
--- a/state/schedule/pace.go
+++ b/state/schedule/pace.go
@@ -4,6 +4,7 @@
 package schedule
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -105,21 +106,27 @@
 	}
 }
 
-// holdBack takes the cold engines out of the view that were granted what they bear.
+// holdBack takes the engines out of the view that were granted what they bear while cold,
+// or what they name as their limit.
 func (g *Group) holdBack(t int64) {
+	g.fillBuckets(t)
 	for i := range g.engines {
 		e, v := &g.engines[i], &g.view.Engines[i]
-		v.Paced = e.cold && (v.Prefill || v.Decode) && e.paced.Count(time.Duration(t)) >= g.paceLimit(t)
+		spent := e.cold && e.paced.Count(time.Duration(t)) >= g.paceLimit(t) || e.limit.spent()
+		v.Paced = (v.Prefill || v.Decode) && spent
 		if v.Paced {
 			v.Prefill, v.Decode = false, false
 		}
 	}
 }
 
-// updatePace has the view say which cold engines are held back now, if any is cold.
+// bounded says whether what the engine may be granted is bounded.
+func (e *engine) bounded() bool { return e.cold || e.limit.Named }
+
+// updatePace has the view say which engines are held back now, if any may be.
 func (g *Group) updatePace(t int64, avoid []string) {
 	g.noteCold(t)
-	if slices.ContainsFunc(g.engines, func(e engine) bool { return e.cold }) {
+	if slices.ContainsFunc(g.engines, func(e engine) bool { return e.bounded() }) {
 		g.setOut(t, avoid)
 	}
 }
@@ -135,11 +142,14 @@
 	return n
 }
 
-// takePace counts a grant for the cold engines that it will reach.
+// takePace counts a grant for the bounded engines that it will reach.
 func (g *Group) takePace(t int64, gr *grant) {
-	if gr.prefill != none && !gr.reuse && g.engines[gr.prefill].cold {
+	if gr.prefill != none && !gr.reuse && g.engines[gr.prefill].bounded() {
 		e := &g.engines[gr.prefill]
-		e.paced = e.paced.WithSent(time.Duration(t))
+		e.limit.take()
+		if e.cold {
+			e.paced = e.paced.WithSent(time.Duration(t))
+		}
 		gr.pacedPrefill = true
 	}
 	if gr.decode != none {
@@ -147,20 +157,23 @@
 	}
 }
 
-// takeDecodePace counts a grant for its decode engine, if that is cold. The request
+// takeDecodePace counts a grant for its decode engine, if that is bounded. The request
 // is sent there when its prefill is done.
 func (g *Group) takeDecodePace(t int64, gr *grant) {
 	e := &g.engines[gr.decode]
-	if !e.cold {
+	if !e.bounded() {
 		return
 	}
 	gr.pacedDecode = true
-	if gr.prefill == none || gr.prefilled {
+	e.limit.take()
+	switch {
+	case !e.cold:
+	case gr.prefill == none || gr.prefilled:
 		e.paced = e.paced.WithSent(time.Duration(t))
-		return
+	default:
+		gr.openDecode = true
+		e.paced = e.paced.WithOpen(time.Duration(gr.granted))
 	}
-	gr.openDecode = true
-	e.paced = e.paced.WithOpen(time.Duration(gr.granted))
 }
 
 // paceDone notes that a grant's decode is sent now, or was sent before.
@@ -181,8 +194,8 @@
 	}
 }
 
-// paceWaitNS is how long a waiter would wait until enough places of cold engines are
-// free for those before it and itself; 0 where a warm engine of the stage is left.
+// paceWaitNS is how long a waiter would wait until enough places of bounded engines are
+// free for those before it and itself; 0 where an unbounded engine of the stage is left.
 func (g *Group) paceWaitNS(w *waiter, t int64) int64 {
 	if g.pacedOut() == 0 {
 		return 0
@@ -199,29 +212,81 @@
 }
 
 // placesFreeNS is when one more than so many places are free among the engines of a
-// stage, or the first of them is warm.
+// stage, or the first of them is bounded no more.
 func (g *Group) placesFreeNS(t int64, before int, of func(i int) bool) int64 {
-	var free []time.Duration
+	var engines []places
 	warm := int64(0)
 	for i := range g.engines {
 		e, v := &g.engines[i], &g.view.Engines[i]
 		if !of(i) || !v.Prefill && !v.Decode && !v.Paced {
 			continue
 		}
-		if !e.cold {
+		if !e.bounded() {
 			return 0
 		}
-		if left := int64(e.coldFor(g.start, t)); warm == 0 || left < warm {
+		if left := int64(e.coldFor(g.start, t)); !e.limit.Named && (warm == 0 || left < warm) {
 			warm = left
 		}
-		free = append(free, e.paced.Free(time.Duration(t), g.paceLimit(t))...)
+		engines = append(engines, g.placesOf(t, e))
+	}
+	wait := int64(0)
+	for range before + 1 {
+		next, at := none, int64(math.MaxInt64)
+		for k := range engines {
+			if free := engines[k].next(); next == none || free < at {
+				next, at = k, free
+			}
+		}
+		if next == none {
+			return warm
+		}
+		engines[next].taken++
+		wait = min(max(at-t, 0), int64(longestPaceWait))
+	}
+	if warm > 0 {
+		return min(wait, warm)
+	}
+	return wait
+}
+
+// longestPaceWait is how long a waiter is taken to wait where nothing comes free.
+const longestPaceWait = 10 * time.Second
+
+// places are when the places of one bounded engine are free, one after the other.
+type places struct {
+	// window are those that it has while cold; nil is any number.
+	window []time.Duration
+	limit  limited
+	// rate is that of its limit, in requests a second.
+	rate  float64
+	taken int
+}
+
+func (g *Group) placesOf(t int64, e *engine) places {
+	p := places{limit: e.limit, rate: g.limitRate(t, e)}
+	if e.cold {
+		p.window = e.paced.Free(time.Duration(t), g.paceLimit(t))
+		slices.Sort(p.window)
+	}
+	return p
+}
+
+// next is when the next place is free; places of a cold engine come free again after the
+// span that a request counts.
+func (p places) next() int64 {
+	at := time.Duration(0)
+	if p.limit.Named {
+		at = p.limit.bucket.Free(p.taken, p.rate)
 	}
-	if len(free) == 0 {
-		return warm
+	switch {
+	case p.window == nil:
+	case len(p.window) == 0:
+		return math.MaxInt64
+	default:
+		turns, place := p.taken/len(p.window), p.taken%len(p.window)
+		at = max(at, p.window[place]+time.Duration(turns)*pace.Span)
 	}
-	slices.Sort(free)
-	turns, last := before/len(free), before%len(free)
-	return min(int64(free[last])-t+int64(turns)*int64(pace.Span), warm)
+	return int64(at)
 }
 
 // Paced is what the group's cold engines were granted, for a group that has them later.
--- a/state/schedule/place.go
+++ b/state/schedule/place.go
@@ -18,8 +18,8 @@
 	// Prefill and Decode say what the engine may do now; both are false for
 	// one that is leaving or ejected.
 	Prefill, Decode bool
-	// Paced says that the engine is left out only since it is cold and was granted
-	// what it bears.
+	// Paced says that the engine is left out only since it was granted what it bears
+	// while cold, or what it names as its limit.
 	Paced bool
 	// FreeAt is when the prefill work granted so far should be done.
 	FreeAt int64
--- a/state/schedule/queue.go
+++ b/state/schedule/queue.go
@@ -191,8 +191,7 @@
 // the few seconds that its result is kept.
 const bookAhead = 250 * time.Millisecond
 
-// setOut takes engines that are ejected, to be avoided, or cold and granted all that
-// they bear out of the view.
+// setOut takes engines that are ejected, to be avoided, or held back out of the view.
 func (g *Group) setOut(t int64, avoid []string) {
 	now := g.start.Add(time.Duration(t))
 	g.noteCold(t)
--- a/state/schedule/types.go
+++ b/state/schedule/types.go
@@ -71,6 +71,9 @@
 	Weight int
 	// ColdUntil is until when the engine is cold; zero is not.
 	ColdUntil time.Time
+	// SharedBy is how many services share the engine, each with a home of its own; 0
+	// counts as 1.
+	SharedBy int
 }
 
 // Targets are a service's aims and bounds.
@@ -110,6 +113,9 @@
 	// ColdLimit is how many requests a cold engine may be granted in a span of
 	// state/pace, at a time; nil is no bound.
 	ColdLimit func(now time.Time) int
+	// LimitShare is the part, 0 to 1, of the limits that engines name which this group may
+	// grant at a time; nil is all.
+	LimitShare func(now time.Time) float64
 	// Paced is what cold engines were granted by groups of this home lately, by name.
 	Paced map[string]pace.Window
 	// Cautious is for a group that takes over from a home it knows nothing of:
@@ -161,6 +167,16 @@
 	// Travel is how long a message from the asking box to the group's region and its
 	// answer take, where that is another region; 0 is the same one.
 	Travel time.Duration
+	// Limits are what the asking box knows of limits that engines of the group name.
+	Limits []EngineLimit
+}
+
+// EngineLimit is what is known of the limit of an engine.
+type EngineLimit struct {
+	Engine string
+	Limit  pace.Limit
+	// Age is how long ago the engine said so.
+	Age time.Duration
 }
 
 // Decision is what the group says about an ask. Exactly one of the types
@@ -176,9 +192,12 @@
 	// Move is the estimate for the transfer alone, from when it may begin; 0
 	// is not known.
 	Move time.Duration
-	// PacedPrefill and PacedDecode say that the engine is cold and that the request
-	// was counted for it: it is to be sent soon, or not at all.
+	// PacedPrefill and PacedDecode say that the engine is cold or names a limit and that
+	// the request was counted for it: it is to be sent soon, or not at all.
 	PacedPrefill, PacedDecode bool
+	// Limits are those that the plan's engines name, and those of which the group knows
+	// something newer than the ask told.
+	Limits []EngineLimit
 	// Held is how long the ask was here before it was granted.
 	Held time.Duration
 }
@@ -203,8 +222,8 @@
 	Idle, Wait time.Duration
 	// Left is the time to the deadline.
 	Left time.Duration
-	// Paced is the number of engines left out since they are cold and were granted
-	// what they bear.
+	// Paced is the number of engines left out since they were granted what they bear while
+	// cold, or what they name as their limit.
 	Paced int
 }
 
@@ -214,6 +233,9 @@
 	Decode string
 	// Move is the estimate for the transfer.
 	Move time.Duration
+	// Paced says that the request was counted for the engine, as PacedDecode does.
+	Paced  bool
+	Limits []EngineLimit
 }
 
 // Queued says that an ask waits; its decision follows.
--- a/state/table/group.go
+++ b/state/table/group.go
@@ -180,6 +180,17 @@
 // PartOf is the part of its zone that an endpoint belongs to.
 func PartOf(endpoint string, parts uint64) uint64 { return xxhash.Sum64String(endpoint) % parts }
 
+// ServicesOf counts the services that an endpoint of the table serves; 0 is none.
+func (t Table) ServicesOf(e Endpoint) int {
+	services := make(map[string]bool)
+	for _, r := range t.Rows {
+		if r.Pool == e.Pool && r.Weights[e.Zone] > 0 {
+			services[r.Service] = true
+		}
+	}
+	return len(services)
+}
+
 // members lists a service's endpoints, pool by pool, each once.
 func (t Table) members(service string) []Member {
 	var out []Member
--- a/tests/mutants/cold.go
+++ b/tests/mutants/cold.go
@@ -8,7 +8,8 @@
 	windowFile       = "state/pace/window.go"
 	schedulePaceFile = "state/schedule/pace.go"
 	coldWordFile     = "state/directory/cold.go"
-	relayColdFile    = "coordination/relay/cold.go"
+	relayPacedFile   = "coordination/relay/paced.go"
+	countedFile      = "state/pace/counted.go"
 	homeColdFile     = "coordination/home/cold.go"
 	homeRouterFile   = "coordination/home/router.go"
 
@@ -59,7 +60,7 @@
 	},
 	{
 		name: "decode_of_cold_engines_not_counted", file: schedulePaceFile, pkg: scheduleTests, args: only("TestOraclePace"),
-		old: "	e.paced = e.paced.WithOpen(time.Duration(gr.granted))\n}", fault: "	_ = pace.Window{}\n}",
+		old: "		e.paced = e.paced.WithOpen(time.Duration(gr.granted))\n	}\n}", fault: "		_ = pace.Window{}\n	}\n}",
 	},
 	{
 		name: "withdrawn_requests_count_no_more", file: schedulePaceFile, pkg: scheduleTests, args: only("TestOraclePace"),
@@ -95,15 +96,15 @@
 	},
 	{
 		name: "alone_box_sends_to_cold_endpoints", file: "coordination/relay/where.go", pkg: relayTests, args: only("TestAloneLeavesColdEndpointsOut"),
-		old: " && !v.isCold(w) {", fault: " {",
+		old: " && !v.bounded(w.ID) {", fault: " {",
 	},
 	{
-		name: "late_grant_sent", file: relayColdFile, pkg: relayTests, args: only("TestSendsToColdEndpoints"),
-		old: "return p.prefill && now.Sub(p.granted) <= pace.SendWithin", fault: "return p.prefill",
+		name: "late_grant_sent", file: countedFile, pkg: relayTests, args: only("TestSendsToColdEndpoints"),
+		old: "return c.Prefill && now.Sub(c.Granted) <= SendWithin", fault: "return c.Prefill",
 	},
 	{
-		name: "uncounted_request_sent", file: relayColdFile, pkg: relayTests, args: only("TestSendsToColdEndpoints"),
-		old: "return !v.paced.decode && !v.coldHere(id) ||", fault: "return !v.paced.decode ||",
+		name: "uncounted_request_sent", file: relayPacedFile, pkg: relayTests, args: only("TestSendsToColdEndpoints"),
+		old: "return !v.counted.Decode && !v.bounded(id) ||", fault: "return !v.counted.Decode ||",
 	},
 	{
 		name: "frozen_home_goes_on", file: homeColdFile, pkg: homeTests, args: only("TestColdEndpointsOfAHome"),
--- /dev/null
+++ b/tests/mutants/limit.go
@@ -0,0 +1,54 @@
+// Copyright 2026 The Runridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package main
+
+const (
+	bucketFile        = "state/pace/bucket.go"
+	scheduleLimitFile = "state/schedule/limit.go"
+	limitKeeperFile   = "coordination/limit/limit.go"
+
+	limitTests = "./coordination/limit"
+)
+
+var limitOracle = []string{"-run", "TestOracleLimit$", "-rapid.checks=3000", "-rapid.nofailfile"}
+
+// limitMutants are deliberate faults in what endpoints that name a limit get.
+var limitMutants = []mutant{
+	{
+		name: "box_beside_a_home_grants_all", file: bucketFile, pkg: paceTests, args: limitOracle,
+		old: "		part *= besideShare\n", fault: "",
+	},
+	{
+		name: "each_side_of_a_cut_grants_the_whole_limit", file: bucketFile, pkg: paceTests, args: only("TestShare"),
+		old: "part := min(float64(s.Seen)/float64(s.All), 1)", fault: "part := min(float64(s.All)/float64(s.Seen), 1)",
+	},
+	{
+		name: "bucket_without_a_bound", file: bucketFile, pkg: paceTests, args: limitOracle,
+		old: "b.level = min(b.level+rate*(now-b.at).Seconds(), most)", fault: "b.level = max(b.level+rate*(now-b.at).Seconds(), 0*most)",
+	},
+	{
+		name: "limited_engines_not_held_back", file: schedulePaceFile, pkg: scheduleTests, args: only("TestLimitedEngines"),
+		old: " || e.limit.spent()", fault: "",
+	},
+	{
+		name: "older_word_on_a_limit_counts", file: scheduleLimitFile, pkg: scheduleTests, args: only("TestNewestWordOnALimit"),
+		old: "if e.limit.known && seen <= e.limit.seen {", fault: "if false {",
+	},
+	{
+		name: "shared_engine_granted_whole_by_each", file: scheduleLimitFile, pkg: scheduleTests, args: only("TestLimitedEngines"),
+		old: "g.limitShare(t) / float64(max(e.spec.SharedBy, 1))", fault: "g.limitShare(t)",
+	},
+	{
+		name: "turned_away_shows_no_limit", file: limitKeeperFile, pkg: limitTests, args: only("TestAnswers"),
+		old: "!a.Limit.Named && !a.Served", fault: "!a.Limit.Named && false",
+	},
+	{
+		name: "alone_box_sends_beyond_a_limit", file: relayPacedFile, pkg: relayTests, args: only("TestSendsToLimitedEndpoints"),
+		old: " || v.r.cfg.Limits.Names(id)", fault: "",
+	},
+	{
+		name: "limits_not_told_with_a_question", file: homeRouterFile, pkg: homeTests, args: only("TestQuestionsTellLimits"),
+		old: "		b.Limits = r.limitsOf(group)\n", fault: "",
+	},
+}
--- a/transport/enginehttp/enginehttp.go
+++ b/transport/enginehttp/enginehttp.go
@@ -236,7 +236,8 @@
 	}
 	c.limits.Answered(limit.Answered{
 		Request: attempt, Endpoint: e.Name, Limit: relayapi.ParseLimit(resp.Header.Get(engineapi.HeaderLimit)),
-		Served: resp.StatusCode == http.StatusOK,
+		// Other orders are no requests, and their answers may name none.
+		Served: resp.StatusCode == http.StatusOK && (path == engineapi.PathPrefill || path == engineapi.PathDecode),
 	})
 	if err := refusalOf(resp); err != nil {
 		return nil, err
