A grant that waits for its decode slot gets it when time frees one

On the product's own interface requests hung for good: 8 of 8 callers of TestNamedLimitOnOwnInterface/engines, in both runs, with all drivers waiting for the slot that their home owed them.

Cause: a home looks at its groups by the clock only while asks wait in them. A grant whose decode engine is still open is no ask; while its engines were held back nothing but another message could have given it its slot, and the callers that would send one were the ones that waited. Engines that are cold could have done the same.

Change: open grants count as pending too. TestOpenGrantsAreLookedAt (the next look after 200 ms and no slot before, 5 ms and a slot now).

--- a/coordination/home/home.go
+++ b/coordination/home/home.go
@@ -262,7 +262,7 @@
 // tickIn is after how long the duty looks again by itself.
 func (h *Homes) tickIn() time.Duration {
 	for _, g := range h.groups {
-		if g.Waiting() > 0 {
+		if g.Pending() > 0 {
 			return tickEvery
 		}
 	}
@@ -345,7 +345,7 @@
 	now := time.Now()
 	h.cold.noteRuns(now)
 	for key, g := range h.groups {
-		if g.Waiting() > 0 {
+		if g.Pending() > 0 {
 			h.answer(key, g.Tick(now))
 		}
 	}
--- a/coordination/home/limit_test.go
+++ b/coordination/home/limit_test.go
@@ -26,6 +26,63 @@
 	return schedule.Ask{ID: id, Box: "b", PromptTokens: 100, OutputTokens: 10}
 }
 
+// TestOpenGrantsAreLookedAt has decode engines that may be granted nothing for a while when a
+// prefill is done. Nobody asks after that, and its slot has to come all the same.
+func TestOpenGrantsAreLookedAt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sample, _ := example.Table(example.Bogota)
+		for i := range sample.Endpoints {
+			// Slots are scarce, so that they come with the end of the prefill.
+			sample.Endpoints[i].Slots = 1
+		}
+		var said []schedule.Decision
+		h := New(Config{Self: "self", Answers: decided{all: &said}, Policy: schedule.Policy{NoRecompute: true}, Log: log.Discard()})
+		h.configure(group.New(sample.WithGeneration(1), directory.Directory{}))
+		g := sample.Groups()[0]
+		var limits []schedule.EngineLimit
+		n := uint64(0)
+		for _, m := range g.Members {
+			if m.Decode && !m.Prefill {
+				limits = append(limits, schedule.EngineLimit{Engine: m.Endpoint.Name, Limit: pace.LimitOf(1)})
+				n++
+			}
+		}
+		for i := range n {
+			h.handle(Command{From: "b", Group: g.Key, Body: askOf(i)})
+		}
+		open, found := openGrant(said)
+		if !found {
+			t.Fatalf("no grant without a decode engine among %+v", said)
+		}
+		h.handle(Command{From: "b", Group: g.Key, Body: Limits{Of: limits}})
+		h.handle(Command{From: "b", Group: g.Key, Body: Prefilled{ID: open}})
+		said = nil
+		if h.tickIn() != tickEvery {
+			t.Errorf("the next look is after %v", h.tickIn())
+		}
+		for range 400 {
+			time.Sleep(tickEvery)
+			h.tick()
+		}
+		for _, d := range said {
+			if slot, ok := d.(schedule.Slot); ok && slot.Ask.ID == open && slot.Paced {
+				return
+			}
+		}
+		t.Errorf("decided %+v, want a slot that was counted", said)
+	})
+}
+
+// openGrant finds a grant that left its decode engine open.
+func openGrant(said []schedule.Decision) (lifecycle.AttemptID, bool) {
+	for _, d := range said {
+		if gr, ok := d.(schedule.Grant); ok && gr.Plan.Decode == "" {
+			return gr.Ask.ID, true
+		}
+	}
+	return lifecycle.AttemptID{}, false
+}
+
 // sentBodies keeps what is sent to other boxes.
 type sentBodies struct {
 	Peers
--- a/state/schedule/group.go
+++ b/state/schedule/group.go
@@ -293,5 +293,9 @@
 // Waiting and Granted count what the group holds.
 func (g *Group) Waiting() int { return len(g.waiting) }
 
+// Pending counts what time alone may decide: the asks in the queue, and the grants that
+// wait for their decode slot.
+func (g *Group) Pending() int { return len(g.waiting) + len(g.open) }
+
 // Granted is the number of attempts admitted and not over.
 func (g *Group) Granted() int { return len(g.grants) }
--- a/tests/mutants/limit.go
+++ b/tests/mutants/limit.go
@@ -39,6 +39,10 @@
 		name: "shared_engine_granted_whole_by_each", file: scheduleLimitFile, pkg: scheduleTests, args: only("TestLimitedEngines"),
 		old: "g.limitShare(t) / float64(max(e.spec.SharedBy, 1))", fault: "g.limitShare(t)",
 	},
+	{
+		name: "open_grants_wait_for_an_ask", file: "state/schedule/group.go", pkg: homeTests, args: only("TestOpenGrantsAreLookedAt"),
+		old: "return len(g.waiting) + len(g.open)", fault: "return len(g.waiting)",
+	},
 	{
 		name: "turned_away_shows_no_limit", file: limitKeeperFile, pkg: limitTests, args: only("TestAnswers"),
 		old: "!a.Limit.Named && !a.Served", fault: "!a.Limit.Named && false",
