Callers whose patience is unknown are told to come back within ten seconds

Cause: each refusal books a time after the one before. Where the caller says how long it will wait, times beyond that are not booked; callers of that interface say nothing, and the line of times grew without end.

Change: ten seconds stand in for a patience that is not known.

--- a/state/schedule/refuse.go
+++ b/state/schedule/refuse.go
@@ -85,6 +85,9 @@
 	// leastSpare is the part of the rate of releases that is held to be free
 	// for callers who come back, whatever the usual rate of asks.
 	leastSpare = 0.25
+	// unknownPatience stands in for the patience of callers who do not say how long they
+	// will wait.
+	unknownPatience = 10 * time.Second
 )
 
 // scheduleRetry tells a refused caller when to come again: at the earliest after
@@ -97,7 +100,10 @@
 	usual := g.asks.rate(t, asksHalfLife)
 	spare := max(releases-usual, releases*leastSpare)
 	next := max(g.nextReturn, t+int64(after)) + int64(1/spare)
-	if patience <= 0 || next-t <= int64(patience) {
+	if patience <= 0 {
+		patience = unknownPatience
+	}
+	if next-t <= int64(patience) {
 		g.nextReturn = next
 		return time.Duration(next - t)
 	}
--- a/state/schedule/refuse_test.go
+++ b/state/schedule/refuse_test.go
@@ -42,3 +42,20 @@
 		})
 	}
 }
+
+// TestRetryTimesStayWithinReason refuses many callers who do not say how long they will wait,
+// and who do not come back when they are told to.
+func TestRetryTimesStayWithinReason(t *testing.T) {
+	g := limitedGroup(1, 1, 0.5, nil)
+	longest := time.Duration(0)
+	for n := range 1000 {
+		for _, d := range g.Ask(start.Add(time.Millisecond), ask(n, 1)) {
+			if r, refused := d.(Refuse); refused {
+				longest = max(longest, r.RetryAfter)
+			}
+		}
+	}
+	if longest == 0 || longest > unknownPatience {
+		t.Errorf("told to come back after %v, allowed %v", longest, unknownPatience)
+	}
+}
