A request that no endpoint received spends no retry budget

Cause: a send counted as an arrival before it was known whether the endpoint could be reached, so the offer to the next one had to be paid for. The way to prefill engines tells the two apart already.

Change: a send counts once it may have arrived.

--- a/coordination/relay/exchange.go
+++ b/coordination/relay/exchange.go
@@ -212,13 +212,16 @@
 		return result{kind: refused, reason: "retry_budget", retryAfter: leastRetry}
 	}
 	v.sends++
-	v.noteArrival()
 	call := v.call(e)
 	call.Source = source
 	v.sentAt = v.r.cfg.Now()
 	answer, err := v.r.cfg.Endpoints.Send(ctx, call)
+	unreached := err != nil && adapter.RanOf(err) == lifecycle.NotRun
+	if !unreached {
+		v.noteArrival()
+	}
 	if err != nil {
-		if adapter.RanOf(err) == lifecycle.NotRun {
+		if unreached {
 			return v.brokeOff(ctx, err, result{kind: turnedAway, endpoint: id, unreached: true, reason: "endpoint_unreached"})
 		}
 		v.runs++
