The soak has endpoints that name limits

Change: a fault endpoint_names_limit (--limits) and a check named_limit by the users' bound, over the boxes that were told and not struck since.

On the product's own interface the soak has no such fault yet.

--- a/bench/soak/check/check.go
+++ b/bench/soak/check/check.go
@@ -114,6 +114,7 @@
 	j.changes()
 	j.regions()
 	j.cold()
+	j.limits()
 }
 
 // PlaceOf is the place of an endpoint: its id without the number of its start.
--- a/bench/soak/check/check_test.go
+++ b/bench/soak/check/check_test.go
@@ -174,3 +174,37 @@
 		})
 	}
 }
+
+// named are runs of so many requests of a box, 40 ms apart, at an endpoint that names a limit.
+func named(count int, limit float64) Record {
+	return Record{Ended: at(60_000), Sight: standin.Sight{Arrivals: many(count, func(a *standin.Arrival) {
+		a.At = begun.Add(4 * a.At.Sub(begun))
+		a.Ended, a.Limit = a.At.Add(5*time.Millisecond), limit
+	})}}
+}
+
+func TestNamedLimits(t *testing.T) {
+	cases := map[string]struct {
+		record Record
+		broken bool
+	}{
+		"far more than the limit":   {record: named(250, 2), broken: true},
+		"as many as it allows":      {record: named(250, 16)},
+		"before boxes have to know": {record: named(75, 2)},
+		"no limit":                  {record: named(250, 0)},
+		"a box that was struck": {record: func() Record {
+			r := named(250, 2)
+			r.Faults = []Fault{{Boxes: []string{"box-1"}, From: at(0), To: at(9000)}}
+			return r
+		}()},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			var report Report
+			Judge(c.record, bounds(), &report)
+			if broken := report.Broken("named_limit") > 0; broken != c.broken {
+				t.Errorf("broken: %v, want %v", broken, c.broken)
+			}
+		})
+	}
+}
--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -44,6 +44,8 @@
 		return r.leaveEndpoint
 	case schedule.PoisonRequest:
 		return r.repeatPoison
+	case schedule.EndpointLimited:
+		return r.nameLimit
 	}
 	if _, ok := manners[k]; ok {
 		return r.behave
--- a/bench/soak/schedule/schedule.go
+++ b/bench/soak/schedule/schedule.go
@@ -63,6 +63,8 @@
 	EndpointLeaving Kind = "endpoint_leaving"
 	// PoisonRequest is a request that ends each endpoint that runs it, and comes again.
 	PoisonRequest Kind = "poison_request"
+	// EndpointLimited names a limit on the requests that it takes from all boxes together.
+	EndpointLimited Kind = "endpoint_names_limit"
 	// TransfersStalled is of engines that speak the product's own protocol.
 	TransfersStalled Kind = "transfers_stalled"
 )
@@ -132,6 +134,7 @@
 	EndpointLeaving: {target: OnPlace, weight: 2, least: 9 * s, longer: 2 * s},
 
 	PoisonRequest:    {weight: 2, least: 10 * s, longer: 4 * s},
+	EndpointLimited:  {target: OnPlace, weight: 6, least: 8 * s, longer: 8 * s},
 	TransfersStalled: {weight: 2},
 }
 
@@ -140,7 +143,7 @@
 func ByDefault() []Kind {
 	var out []Kind
 	for _, k := range All() {
-		if k != ZoneDrained && k != TransfersStalled && k != PoisonRequest {
+		if k != ZoneDrained && k != TransfersStalled && k != PoisonRequest && k != EndpointLimited {
 			out = append(out, k)
 		}
 	}
--- a/bench/soak/signals.go
+++ b/bench/soak/signals.go
@@ -140,6 +140,29 @@
 	_ = r.site.call("Behave", standin.Act{Place: p.Name, Manner: standin.Well}, none)
 }
 
+const (
+	// leastLimit and limitSpread bound the limits that endpoints name, in requests a second.
+	leastLimit  = 1
+	limitSpread = 8
+)
+
+// nameLimit has an endpoint name a limit for a time, and another one for the rest of it.
+func (r *run) nameLimit(ctx context.Context, e schedule.Event) {
+	p := r.places[e.Place]
+	free, ok := r.take(p.busy)
+	if !ok {
+		return
+	}
+	defer free()
+	defer r.strike(check.Fault{Kind: string(e.Kind), Place: p.Name})()
+	none := &standin.None{}
+	for _, limit := range []uint64{e.Draw % limitSpread, e.Draw / limitSpread % limitSpread} {
+		_ = r.site.call("NameLimit", standin.Act{Place: p.Name, On: true, Limit: leastLimit + float64(limit)}, none)
+		sleepUntil(ctx, time.Now().Add(e.For/2))
+	}
+	_ = r.site.call("NameLimit", standin.Act{Place: p.Name}, none)
+}
+
 // leaveEndpoint has an endpoint say that it leaves, and take that back.
 func (r *run) leaveEndpoint(ctx context.Context, e schedule.Event) {
 	p := r.places[e.Place]
--- a/cmd/runridge-bench/soak.go
+++ b/cmd/runridge-bench/soak.go
@@ -44,6 +44,7 @@
 	Cold     bool     `long:"cold" description:"endpoints start cold"`
 	Regions  bool     `long:"regions" description:"bound a route and an account to a region"`
 	Poison   bool     `long:"poison" description:"requests that end each endpoint that runs them come again"`
+	Limits   bool     `long:"limits" description:"endpoints name limits on the requests that they take"`
 	Own      bool     `long:"completions" description:"boxes serve the product's own interface for completions"`
 	File     string   `long:"file" description:"file of runs, one line of options each, in place of --seed and --seeds"`
 	Jobs     int      `long:"jobs" default:"1" description:"runs at once"`
@@ -255,6 +256,9 @@
 		if c.Poison {
 			out = append(out, schedule.PoisonRequest)
 		}
+		if c.Limits {
+			out = append(out, schedule.EndpointLimited)
+		}
 	}
 	return out
 }
