--- a/box/status.go
+++ b/box/status.go
@@ -51,6 +51,7 @@
 		s.Bound = boundOf(b.follower.Table())
 		s.Cold = b.homes.ColdEndpoints()
 	}
+	s.Limited = b.homes.LimitedEndpoints()
 	s.Poison = b.quarantine.Status()
 	s.Held = b.held.Status()
 	if !following.PlatformHeard.IsZero() {
--- a/cmd/runridgectl/main.go
+++ b/cmd/runridgectl/main.go
@@ -40,6 +40,7 @@
 	addRegions(parser)
 	addAllowed(parser)
 	addCold(parser)
+	addLimits(parser)
 	addPoison(parser)
 	addBuilds(parser)
 	os.Exit(command.Run(parser, exitCode))
--- a/coordination/home/answer.go
+++ b/coordination/home/answer.go
@@ -32,9 +32,9 @@
 		switch d := d.(type) {
 		case schedule.Refuse:
 			h.logRefusal(group, d)
-			h.countPaced(group, d)
+			h.countHeldBack(group, d)
 		case schedule.Grant:
-			h.countCold(group, d)
+			h.countGranted(group, d)
 		}
 		h.cfg.Answers.Answer(schedule.Asked(d).Box, group, d)
 	}
@@ -66,6 +66,7 @@
 		"granted":           r.Seen.Granted,
 		"free_slots":        r.Seen.FreeSlots,
 		"paced_engines":     r.Seen.Paced,
+		"limited_engines":   r.Seen.Limited,
 		"idle_ms":           r.Seen.Idle.Milliseconds(),
 		"wait_ms":           r.Seen.Wait.Milliseconds(),
 		"left_ms":           r.Seen.Left.Milliseconds(),
--- a/coordination/home/cold.go
+++ b/coordination/home/cold.go
@@ -16,8 +16,12 @@
 	"runridge.example/runridge/state/table"
 )
 
-// Metrics counts what cold endpoints get.
+// Metrics counts what cold endpoints, and those that name a limit, get.
 type Metrics interface {
+	// LimitGranted counts requests granted for endpoints of a service that name a limit.
+	LimitGranted(service string, requests int)
+	// LimitRefused counts a refusal while such endpoints were held back.
+	LimitRefused(service string)
 	// ColdGranted counts requests granted for cold endpoints of a service.
 	ColdGranted(service string, requests int)
 	// ColdRefused counts refusals while cold endpoints were held back.
@@ -139,22 +143,41 @@
 	}).Info(event)
 }
 
-// countCold counts the requests of a grant that go to cold endpoints.
-func (h *Homes) countCold(group string, d schedule.Grant) {
-	requests := 0
-	for _, paced := range []bool{d.PacedPrefill, d.PacedDecode} {
-		if paced {
-			requests++
+// countGranted counts the requests of a grant that go to endpoints which are cold or name a
+// limit.
+func (h *Homes) countGranted(group string, d schedule.Grant) {
+	if h.cfg.Metrics == nil || !d.PacedPrefill && !d.PacedDecode {
+		return
+	}
+	cold, limited := 0, 0
+	count := func(paced bool, engine string) {
+		switch {
+		case !paced:
+		case slices.ContainsFunc(d.Limits, func(l schedule.EngineLimit) bool { return l.Engine == engine && l.Limit.Named }):
+			limited++
+		default:
+			cold++
 		}
 	}
-	if requests > 0 && h.cfg.Metrics != nil {
-		h.cfg.Metrics.ColdGranted(h.serviceOf(group), requests)
+	count(d.PacedPrefill, d.Plan.Prefill)
+	count(d.PacedDecode, d.Plan.Decode)
+	if cold > 0 {
+		h.cfg.Metrics.ColdGranted(h.serviceOf(group), cold)
+	}
+	if limited > 0 {
+		h.cfg.Metrics.LimitGranted(h.serviceOf(group), limited)
 	}
 }
 
-// countPaced counts a refusal while cold endpoints were held back.
-func (h *Homes) countPaced(group string, r schedule.Refuse) {
-	if r.Seen.Paced > 0 && h.cfg.Metrics != nil {
+// countHeldBack counts a refusal while endpoints were held back.
+func (h *Homes) countHeldBack(group string, r schedule.Refuse) {
+	if h.cfg.Metrics == nil {
+		return
+	}
+	if r.Seen.Limited > 0 {
+		h.cfg.Metrics.LimitRefused(h.serviceOf(group))
+	}
+	if r.Seen.Paced > r.Seen.Limited {
 		h.cfg.Metrics.ColdRefused(h.serviceOf(group))
 	}
 }
--- a/coordination/home/home.go
+++ b/coordination/home/home.go
@@ -109,7 +109,7 @@
 	// Standing, if set, is this box's part in a group that it may be home of. Without
 	// it cold endpoints are not bounded, and the whole of their limits is granted here.
 	Standing func(group string) pace.Standing
-	// Metrics, if set, counts what cold endpoints get.
+	// Metrics, if set, counts what cold endpoints, and those that name a limit, get.
 	Metrics Metrics
 	Policy  schedule.Policy
 	Health  health.Config
--- a/modules/metric/metric.go
+++ b/modules/metric/metric.go
@@ -61,10 +61,13 @@
 	orders     metric.Int64Counter
 	cold       metric.Int64Counter
 	coldDenied metric.Int64Counter
-	accounts   labels
-	calls      metric.Int64Counter
-	gap        metric.Float64Histogram
-	callTime   metric.Float64Histogram
+	limited    metric.Int64Counter
+	// limitDenied counts refusals.
+	limitDenied metric.Int64Counter
+	accounts    labels
+	calls       metric.Int64Counter
+	gap         metric.Float64Histogram
+	callTime    metric.Float64Histogram
 }
 
 // Ended is what is counted of a request.
@@ -142,6 +145,9 @@
 	if err := m.poisonInstruments(meter); err != nil {
 		return err
 	}
+	if err := m.limitInstruments(meter); err != nil {
+		return err
+	}
 	if err := m.coldInstruments(meter); err != nil {
 		return err
 	}
--- a/modules/timeline/timeline.go
+++ b/modules/timeline/timeline.go
@@ -33,6 +33,7 @@
 	"endpoint_list_regained", "endpoint_history_gone", "platform_watch_failed", "home_started", "home_ended",
 	"box_leaving", "own_pause_noticed", "settings_reloaded", "starting",
 	"stages_planned", "stage_ordered", "stage_order_unanswered", "quota_home_started", "quota_home_ended", "endpoint_watch_changed", "endpoint_entries_in_grace", "engine_ejected",
+	"endpoint_limit_told", "endpoint_limit_changed",
 }
 
 // around is how long before a request's first line a changed belief counts as
--- a/state/pace/bucket_test.go
+++ b/state/pace/bucket_test.go
@@ -150,3 +150,15 @@
 		}
 	}
 }
+
+func TestIdleBucketHoldsOneBurst(t *testing.T) {
+	for rate, want := range map[float64]int{0.3: 1, 2.8: 1, 60: 15} {
+		b, got := NewBucket(0, 0).WithTime(time.Hour, rate), 0
+		for ; b.Allows() && got < 1000; b = b.WithTaken() {
+			got++
+		}
+		if got != want {
+			t.Errorf("%d requests at once after an idle hour at a rate of %v, want %d", got, rate, want)
+		}
+	}
+}
--- a/state/schedule/limit.go
+++ b/state/schedule/limit.go
@@ -21,6 +21,17 @@
 // spent says whether nothing may be granted now.
 func (l *limited) spent() bool { return l.Named && !l.bucket.Allows() }
 
+// limitedOut is the number of engines that are held back by their own limit.
+func (g *Group) limitedOut() int {
+	n := 0
+	for i := range g.engines {
+		if g.view.Engines[i].Paced && g.engines[i].limit.spent() {
+			n++
+		}
+	}
+	return n
+}
+
 // take counts a grant.
 func (l *limited) take() {
 	if l.Named {
--- a/state/schedule/refuse.go
+++ b/state/schedule/refuse.go
@@ -75,6 +75,7 @@
 		Wait:      time.Duration(wait),
 		Left:      time.Duration(w.deadline - t),
 		Paced:     g.pacedOut(),
+		Limited:   g.limitedOut(),
 	}
 }
 
--- a/state/schedule/types.go
+++ b/state/schedule/types.go
@@ -223,8 +223,8 @@
 	// Left is the time to the deadline.
 	Left time.Duration
 	// Paced is the number of engines left out since they were granted what they bear while
-	// cold, or what they name as their limit.
-	Paced int
+	// cold, or what they name as their limit; Limited are the latter.
+	Paced, Limited int
 }
 
 // Slot names the decode engine of a grant that left it open.
--- a/tests/mutants/limit.go
+++ b/tests/mutants/limit.go
@@ -24,7 +24,7 @@
 		old: "part := min(float64(s.Seen)/float64(s.All), 1)", fault: "part := min(float64(s.All)/float64(s.Seen), 1)",
 	},
 	{
-		name: "bucket_without_a_bound", file: bucketFile, pkg: paceTests, args: limitOracle,
+		name: "bucket_without_a_bound", file: bucketFile, pkg: paceTests, args: only("TestIdleBucketHoldsOneBurst"),
 		old: "b.level = min(b.level+rate*(now-b.at).Seconds(), most)", fault: "b.level = max(b.level+rate*(now-b.at).Seconds(), 0*most)",
 	},
 	{
--- a/tests/mutants/shared.go
+++ b/tests/mutants/shared.go
@@ -37,7 +37,7 @@
 	},
 	{
 		name: "retry_time_without_patience", file: refuseFile, pkg: scheduleTests, args: only("TestRetryAfterWithinPatience"),
-		old: "if patience <= 0 || next-t <= int64(patience) {", fault: "if true {",
+		old: "if next-t <= int64(patience) {", fault: "if true {",
 	},
 	{
 		name: "spill_books_a_return", file: refuseFile, pkg: scheduleTests, args: only("TestSpill"),
--- a/transport/operatorhttp/operatorhttp.go
+++ b/transport/operatorhttp/operatorhttp.go
@@ -83,8 +83,9 @@
 	Poison quarantine.Status `json:"poison"`
 	// Held is what the box holds in memory for callers.
 	Held held.Status `json:"held"`
-	// Cold are the cold endpoints of those groups.
-	Cold []home.ColdEndpoint `json:"cold,omitempty"`
+	// Cold are the cold endpoints of those groups, and Limited those that name a limit.
+	Cold    []home.ColdEndpoint    `json:"cold,omitempty"`
+	Limited []home.LimitedEndpoint `json:"limited,omitempty"`
 }
 
 // GroupHome is a group, where its endpoints are, and the box that is its home.
