A box that may place nothing by itself refuses at once

Callers were held for 1.9 s, eight rounds of 240 ms, while no home spoke and every endpoint that was left was cold or named a limit: the box may not send there what nobody counts, and asked its silent homes again and again.

Change: it refuses after the first round, and tells the caller to come again when boxes will have agreed on another home.

--- a/coordination/relay/paced_test.go
+++ b/coordination/relay/paced_test.go
@@ -4,12 +4,15 @@
 package relay
 
 import (
+	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"runridge.example/runridge/coordination/limit"
 	"runridge.example/runridge/modules/log"
 	"runridge.example/runridge/state/directory"
+	"runridge.example/runridge/state/lifecycle"
 	"runridge.example/runridge/state/pace"
 	"runridge.example/runridge/state/schedule"
 	"runridge.example/runridge/state/table"
@@ -46,7 +49,8 @@
 			for n := range uint64(8) {
 				v := coldRun(c.bound, time.Now())
 				v.id.Sequence, v.avoid = n, c.avoid
-				got[v.placeAlone().Decode] = true
+				plan, _ := v.placeAlone()
+				got[plan.Decode] = true
 			}
 			if len(got) != len(c.want) {
 				t.Errorf("placed at %v, want %v", got, c.want)
@@ -127,10 +131,39 @@
 			}
 			for n := range uint64(8) {
 				v.id.Sequence = n
-				if got := v.placeAlone().Decode; got != "cold" {
-					t.Errorf("placed alone at %q", got)
+				if got, heldBack := v.placeAlone(); got.Decode != "cold" || heldBack {
+					t.Errorf("placed alone at %q, held back %v", got.Decode, heldBack)
 				}
 			}
 		})
 	}
 }
+
+// TestAloneBeyondALimitIsRefusedAtOnce has no home speak while the only endpoint names a limit:
+// the caller was held for as long as its request was asked for, eight times.
+func TestAloneBeyondALimitIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ends, caller := &counted{}, &told{}
+		d := directory.Directory{}.WithList(time.Now(), 1, []directory.Entry{{ID: "e-n1", Service: "s", Zone: "n1"}})
+		r := New(Config{
+			Zone: "n1", Homes: &granting{places: allOne}, Directory: &known{d}, Endpoints: ends, Log: log.Discard(),
+			Limits: limit.New(limit.Config{Log: log.Discard()}), NextID: func() lifecycle.RequestID { return lifecycle.RequestID{} },
+		})
+		r.cfg.Limits.Answered(limit.Answered{Endpoint: "e-n1", Limit: pace.LimitOf(1)})
+		r.SetTable(table.Table{
+			Generation: 1, Services: []table.Service{{Name: "s", Kind: table.KindRouted}},
+			Routes: []table.Route{{
+				Name: "a", Host: "h", Prefix: "/a/", Repeat: table.RepeatSafe, MaxAttempts: 2, TimeoutMS: 9000, TargetMS: 900,
+				Targets: []table.RouteTarget{{Service: "s", Weight: 1}},
+			}},
+		})
+		arrived := time.Now()
+		r.Serve(t.Context(), Request{ID: "1", Host: "h", Path: "/a/x", Target: "/a/x", Method: http.MethodPost, Arrived: arrived}, caller)
+		if ends.sends > 0 || caller.refusal.Status != http.StatusServiceUnavailable || caller.refusal.RetryAfter != silentHomeRetry {
+			t.Errorf("sent %d times, told %+v", ends.sends, caller.refusal)
+		}
+		if held := time.Since(arrived); held > silentHomes*firstWord {
+			t.Errorf("held for %v, want no longer than the homes are asked, %v", held, silentHomes*firstWord)
+		}
+	})
+}
--- a/coordination/relay/run.go
+++ b/coordination/relay/run.go
@@ -32,6 +32,9 @@
 	notReadyRetry = 300 * time.Millisecond
 	// leastRetry is the least that a refused caller is told to wait.
 	leastRetry = 100 * time.Millisecond
+	// silentHomeRetry is when to come again where no home speaks: boxes agree on another
+	// one in about that time.
+	silentHomeRetry = 2 * time.Second
 	// leastLeft is the least time left for which another send is worth it.
 	leastLeft = 30 * time.Millisecond
 )
@@ -282,7 +285,11 @@
 	plan := said.grant.Plan
 	v.counted = countedBy(said.grant, said.asked)
 	if said.alone {
-		plan = v.placeAlone()
+		var heldBack bool
+		if plan, heldBack = v.placeAlone(); heldBack {
+			// Asking again would hold the caller for as long as its homes are silent.
+			return result{kind: refused, reason: reasonNotCounted, retryAfter: silentHomeRetry}
+		}
 	}
 	v.plan, v.alone = plan, said.alone
 	v.logPlaced(a, plan)
--- a/coordination/relay/where.go
+++ b/coordination/relay/where.go
@@ -67,19 +67,25 @@
 }
 
 // placeAlone chooses endpoints without a home: any that the request may go to and has
-// not met. One that is cold or names a limit is left out, since nobody counts what it gets.
-func (v *run) placeAlone() lifecycle.Plan {
+// not met. One that is cold or names a limit is left out, since nobody counts what it gets;
+// heldBack says that there is no other.
+func (v *run) placeAlone() (plan lifecycle.Plan, heldBack bool) {
 	var fit []string
+	bounded := 0
 	for _, w := range v.r.cfg.Directory.Directory().Statuses(v.service.Name) {
 		_, ok := v.fits(w)
-		if ok && w.Stage != directory.StagePrefill && !slices.Contains(v.avoid, w.ID) && !v.bounded(w.ID) {
+		switch {
+		case !ok, w.Stage == directory.StagePrefill, slices.Contains(v.avoid, w.ID):
+		case v.bounded(w.ID):
+			bounded++
+		default:
 			fit = append(fit, w.ID)
 		}
 	}
 	if len(fit) == 0 {
-		return lifecycle.Plan{}
+		return lifecycle.Plan{}, bounded > 0
 	}
-	return lifecycle.Plan{Mode: lifecycle.Recompute, Decode: fit[int(v.id.Sequence)%len(fit)]}
+	return lifecycle.Plan{Mode: lifecycle.Recompute, Decode: fit[int(v.id.Sequence)%len(fit)]}, false
 }
 
 // mayAsk says whether a group may have an endpoint for the request.
--- a/coordination/relay/where_test.go
+++ b/coordination/relay/where_test.go
@@ -127,7 +127,8 @@
 					t.Errorf("endpoint in %s: %q", zone, reason)
 				}
 			}
-			if alone := v.placeAlone().Decode; (alone == "") != (len(c.zones) == 0) || alone != "" && !within(c.zones, alone) {
+			plan, _ := v.placeAlone()
+			if alone := plan.Decode; (alone == "") != (len(c.zones) == 0) || alone != "" && !within(c.zones, alone) {
 				t.Errorf("placed alone at %q", alone)
 			}
 			if c.reason != "" {
--- a/tests/mutants/cold.go
+++ b/tests/mutants/cold.go
@@ -96,7 +96,7 @@
 	},
 	{
 		name: "alone_box_sends_to_cold_endpoints", file: "coordination/relay/where.go", pkg: relayTests, args: only("TestAloneLeavesColdEndpointsOut"),
-		old: " && !v.bounded(w.ID) {", fault: " {",
+		old: "case v.bounded(w.ID):", fault: "case false:",
 	},
 	{
 		name: "late_grant_sent", file: countedFile, pkg: relayTests, args: only("TestSendsToColdEndpoints"),
