A dial that timed out does not show that a box's process has ended

On a start of many boxes on full processors dials time out; each such box was taken for one of a build without a version from then on, until it greeted: its messages went by name, up to five times as long, and its updates were unpacked and written anew. It is the first hypothesis of docs/design/fleet.md on the dearer start of 986 boxes, and not measured at that size here: 986 boxes at 53 MB each need 52 GB, this machine has 19.

Cause: any failed dial made the box forget what the peer reads; the design (versions.md) says a refusal. TestWhatFailedDialsProve fails on the code before (version 0 after a time-out).

--- a/transport/boxnet/refused.go
+++ b/transport/boxnet/refused.go
@@ -21,11 +21,15 @@
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
-// dialFailed tells of a box whose process is gone.
+// dialFailed tells of a box whose process is gone. A time-out does not show that: what is
+// known of how the process reads stands.
 func (n *Net) dialFailed(box string, err error) {
 	n.cfg.Log.WithFields(log.Fields{"peer": box}).WithError(err).Debug("box_dial_failed")
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		return
+	}
 	n.forget(box)
-	if n.cfg.OnRefused != nil && errors.Is(err, syscall.ECONNREFUSED) {
+	if n.cfg.OnRefused != nil {
 		n.cfg.OnRefused(box)
 	}
 }
--- a/transport/boxnet/versions_test.go
+++ b/transport/boxnet/versions_test.go
@@ -6,6 +6,8 @@
 import (
 	"context"
 	"net"
+	"os"
+	"syscall"
 	"testing"
 
 	"github.com/smartystreets/goconvey/convey"
@@ -105,3 +107,23 @@
 		_ = c.Close()
 	})
 }
+
+func TestWhatFailedDialsProve(t *testing.T) {
+	cases := map[string]struct {
+		err  error
+		want boxwire.Version
+	}{
+		"a refusal":  {err: &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}, want: boxwire.VersionNone},
+		"a time-out": {err: &net.OpError{Op: "dial", Err: os.ErrDeadlineExceeded}, want: boxwire.VersionNow},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			n := New(t.Context(), Config{Box: "b", Log: log.Discard()})
+			n.versions.greeted(&boxwire.Hello{Box: "a", Incarnation: 1, Version: boxwire.VersionNow})
+			n.dialFailed("a", c.err)
+			if got, _ := n.versions.of("a", Peer{Start: 1}, boxwire.KindPull); got != c.want {
+				t.Errorf("spoken to as version %d, want %d", got, c.want)
+			}
+		})
+	}
+}
