--- a/state/group/service.go
+++ b/state/group/service.go
@@ -136,7 +136,7 @@
 }
 
 // editor changes the members of a service: one by one, sharing what does not change, or, where
-// most of them change, all anew, which costs a tenth for each.
+// most of them change, all anew.
 type editor struct {
 	shared *immutable.SortedMap[string, table.Member]
 	anew   map[string]table.Member
