Test of limits waits for what endpoints get; comments say what they mean

The least that an endpoint has to get was counted after a fixed time, which a machine that stands still could break. The test waits for it now, under the same flood; the bound above is judged as before. Two comments were read as something else by a newcomer's eye.

--- a/coordination/dispatch/paced.go
+++ b/coordination/dispatch/paced.go
@@ -16,7 +16,8 @@
 	return !v.counted.Prefill && !v.d.cfg.Limits.Names(engine) || v.counted.PrefillAt(time.Now())
 }
 
-// mayDecode says the same of the first order to the attempt's decode engine.
+// mayDecode says the same of an order to the attempt's decode engine. Only the first one
+// counts, so it notes that the engine is reached.
 func (v *driver) mayDecode(engine string) bool {
 	may := v.reached || !v.counted.Decode && !v.d.cfg.Limits.Names(engine) || v.counted.DecodeAt(time.Now())
 	v.reached = v.reached || may
--- a/coordination/home/home.go
+++ b/coordination/home/home.go
@@ -107,7 +107,7 @@
 	// ColdBound bounds what cold endpoints get; SetColdBound replaces it.
 	ColdBound pace.Bound
 	// Standing, if set, is this box's part in a group that it may be home of. Without
-	// it cold endpoints are not bounded, and the whole of their limits is granted here.
+	// it cold endpoints are not bounded, and limits that endpoints name are granted whole.
 	Standing func(group string) pace.Standing
 	// Metrics, if set, counts what cold endpoints, and those that name a limit, get.
 	Metrics Metrics
--- a/coordination/home/router.go
+++ b/coordination/home/router.go
@@ -48,7 +48,7 @@
 
 	// limits are those that endpoints name, as far as this box knows; nil is none.
 	limits *limit.Keeper
-	// turn counts the questions.
+	// turn counts the questions, so that of many limits each is told in turn.
 	turn atomic.Uint64
 
 	// mutex guards the layout that homes are worked out from.
--- a/tests/routed/limit_test.go
+++ b/tests/routed/limit_test.go
@@ -141,12 +141,14 @@
 					c.during(s)
 				}
 				time.Sleep(limitWindow)
+				for _, id := range c.limited {
+					s.eventually("the endpoint gets some", func() bool { return s.ends[id].Arrivals().Since(from) >= namedLimit })
+				}
 				p.stop()
 				for _, id := range c.limited {
-					fullest, all := s.ends[id].Arrivals().Fullest(limitWindow, from), s.ends[id].Arrivals().Since(from)
-					t.Logf("%s: %d in the fullest window, %d in all", id, fullest, all)
+					fullest := s.ends[id].Arrivals().Fullest(limitWindow, from)
+					t.Logf("%s: %d in the fullest window, %d in all", id, fullest, s.ends[id].Arrivals().Since(from))
 					convey.So(fullest, convey.ShouldBeLessThanOrEqualTo, int(limitBound))
-					convey.So(all, convey.ShouldBeGreaterThanOrEqualTo, namedLimit)
 				}
 				t.Logf("served %d, refused with a time to come back %d, without %d", p.served.Load(), p.refused.Load(), p.without.Load())
 				convey.So(p.without.Load(), convey.ShouldEqual, 0)
