Boxes log that endpoints leave or want rest

What they say is now read in one place for each client of endpoints, kept beside the limits that they name (coordination/limit becomes coordination/notice), and logged as endpoint_closed with the request whose answer told it, what was known before and for how long. No decision follows from it yet.

The relay took in limits by itself, for requests alone; now each answer counts, those to orders, reports and frees too.

--- a/box/assemble.go
+++ b/box/assemble.go
@@ -130,7 +130,7 @@
 		Keys:        b.claimer,
 		Owners:      owners,
 		Window:      o.Window,
-		Limits:      b.limits,
+		Notices:     b.notices,
 		Metrics:     b.metrics,
 		Quarantine:  b.quarantine,
 		MaxAttempts: uint32(s.Limits.MaxAttempts),
@@ -160,12 +160,12 @@
 		Log: o.Log,
 	})
 	b.names.Store(boxwire.NewNames())
-	b.decisions = decisions{dispatch: b.dispatch, limits: b.limits}
+	b.decisions = decisions{dispatch: b.dispatch, notices: b.notices}
 	if b.routed != nil {
 		b.assembleRouted(o.relayNames())
 		b.decisions.relay = b.routed.relay
 	}
-	b.router.Connect(b.homes, b.decisions, b.limits)
+	b.router.Connect(b.homes, b.decisions, b.notices)
 	b.follower.OnChange(b.setTable)
 	b.callers = callerhttp.New(callerhttp.Config{
 		Dispatcher:    b.dispatch,
--- a/box/box.go
+++ b/box/box.go
@@ -20,8 +20,8 @@
 	"runridge.example/runridge/coordination/follow"
 	"runridge.example/runridge/coordination/held"
 	"runridge.example/runridge/coordination/home"
-	"runridge.example/runridge/coordination/limit"
 	members "runridge.example/runridge/coordination/member"
+	"runridge.example/runridge/coordination/notice"
 	"runridge.example/runridge/coordination/quarantine"
 	"runridge.example/runridge/coordination/watch"
 	"runridge.example/runridge/modules/log"
@@ -101,7 +101,7 @@
 	keeper     *dedup.Keeper
 	quarantine *quarantine.Keeper
 	claimer    *dedup.Claimer
-	limits     *limit.Keeper
+	notices    *notice.Keeper
 	callers    *callerhttp.Server
 	metrics    *metric.Metrics
 	// held bounds what is held in memory for callers.
@@ -151,8 +151,12 @@
 		options:  o,
 		regions:  locality.New(s.Regions),
 	}
-	b.limits = limit.New(limit.Config{Log: o.Log, OnChange: func(l schedule.EngineLimit) { b.router.TellLimit(l) }})
-	b.engine, b.plain = enginehttp.New(b.limits), plainhttp.New(b.limits)
+	b.notices = notice.New(notice.Config{
+		OnLimit: func(l schedule.EngineLimit) { b.router.TellLimit(l) },
+		Born:    b.bornOf,
+		Log:     o.Log,
+	})
+	b.engine, b.plain = enginehttp.New(b.notices), plainhttp.New(b.notices)
 	if o.Platform != nil {
 		counts := &callCounts{counts: make(map[string]int)}
 		platform := measured{
--- a/box/routed.go
+++ b/box/routed.go
@@ -16,8 +16,8 @@
 	"runridge.example/runridge/coordination/dispatch"
 	"runridge.example/runridge/coordination/drain"
 	"runridge.example/runridge/coordination/follow"
-	"runridge.example/runridge/coordination/limit"
 	members "runridge.example/runridge/coordination/member"
+	"runridge.example/runridge/coordination/notice"
 	"runridge.example/runridge/coordination/quota"
 	"runridge.example/runridge/coordination/registry"
 	"runridge.example/runridge/coordination/relay"
@@ -85,7 +85,7 @@
 func (b *Box) assembleRouted(names relayapi.Names) {
 	s := b.settings.Relay
 	r := b.routed
-	r.endpoints = upstream.New(upstream.Config{Names: names, Share: b.connectionShare})
+	r.endpoints = upstream.New(upstream.Config{Names: names, Share: b.connectionShare, Notices: b.notices})
 	r.discoverer = discover.New(discover.Config{
 		Source:   r.platform,
 		OnChange: b.setDirectory,
@@ -137,7 +137,7 @@
 		Boxes:        func() int { return b.knownBoxes() + spareBoxes },
 		Budget:       budgetOf(s),
 		Cold:         coldBoundOf(s),
-		Limits:       b.limits,
+		Notices:      b.notices,
 		Held:         b.held,
 		Metrics:      b.metrics,
 		Log:          b.options.Log,
@@ -168,6 +168,12 @@
 	return b.routed.discoverer.Directory()
 }
 
+// bornOf is the start of an endpoint of routed services, as far as the directory tells.
+func (b *Box) bornOf(endpoint string) int64 {
+	s, _ := b.Directory().Status(endpoint)
+	return s.Born
+}
+
 // knownBoxes is the number of boxes that there may be: those that look dead
 // from here may be cut off, and go on with their part of a shared bound.
 func (b *Box) knownBoxes() int {
@@ -254,16 +260,16 @@
 	// relay is nil on a box without routed services.
 	relay    *relay.Relay
 	dispatch *dispatch.Dispatcher
-	limits   *limit.Keeper
+	notices  *notice.Keeper
 }
 
 // Decide takes a decision for a request of this box.
 func (d decisions) Decide(from, group string, decision schedule.Decision) {
 	switch dec := decision.(type) {
 	case schedule.Grant:
-		d.limits.Heard(dec.Limits)
+		d.notices.Heard(dec.Limits)
 	case schedule.Slot:
-		d.limits.Heard(dec.Limits)
+		d.notices.Heard(dec.Limits)
 	}
 	if d.relay != nil && d.relay.Decide(from, group, decision) {
 		return
--- a/coordination/dispatch/dispatcher.go
+++ b/coordination/dispatch/dispatcher.go
@@ -13,7 +13,7 @@
 	"runridge.example/runridge/coordination/cleanup"
 	"runridge.example/runridge/coordination/dedup"
 	"runridge.example/runridge/coordination/home"
-	"runridge.example/runridge/coordination/limit"
+	"runridge.example/runridge/coordination/notice"
 	"runridge.example/runridge/coordination/quarantine"
 	"runridge.example/runridge/modules/log"
 	"runridge.example/runridge/modules/metric"
@@ -66,8 +66,8 @@
 	Owners Owners
 	// Quarantine keeps poison requests from the engines; nil is none.
 	Quarantine *quarantine.Keeper
-	// Limits keeps the limits that endpoints name.
-	Limits *limit.Keeper
+	// Notices keeps what endpoints say of themselves in their answers.
+	Notices *notice.Keeper
 	// Metrics, if set, counts requests that ended.
 	Metrics Metrics
 	// Window is how long answers are kept for repeats.
--- a/coordination/dispatch/paced.go
+++ b/coordination/dispatch/paced.go
@@ -13,13 +13,13 @@
 // mayPrefill says whether an engine may be ordered the prefill now: one that names a limit
 // gets only what its group's home has counted for it.
 func (v *driver) mayPrefill(engine string) bool {
-	return !v.counted.Prefill && !v.d.cfg.Limits.Names(engine) || v.counted.PrefillAt(time.Now())
+	return !v.counted.Prefill && !v.d.cfg.Notices.Limited(engine) || v.counted.PrefillAt(time.Now())
 }
 
 // mayDecode says the same of an order to the attempt's decode engine. Only the first one
 // counts, so it notes that the engine is reached.
 func (v *driver) mayDecode(engine string) bool {
-	may := v.reached || !v.counted.Decode && !v.d.cfg.Limits.Names(engine) || v.counted.DecodeAt(time.Now())
+	may := v.reached || !v.counted.Decode && !v.d.cfg.Notices.Limited(engine) || v.counted.DecodeAt(time.Now())
 	v.reached = v.reached || may
 	return may
 }
--- a/coordination/home/limit_test.go
+++ b/coordination/home/limit_test.go
@@ -9,7 +9,7 @@
 	"testing/synctest"
 	"time"
 
-	"runridge.example/runridge/coordination/limit"
+	"runridge.example/runridge/coordination/notice"
 	"runridge.example/runridge/modules/log"
 	"runridge.example/runridge/modules/ring"
 	"runridge.example/runridge/state/directory"
@@ -99,7 +99,7 @@
 func TestQuestionsTellLimits(t *testing.T) {
 	sent := &sentBodies{bodies: make(map[string][]Body)}
 	r := NewRouter("self", sent)
-	keeper := limit.New(limit.Config{Log: log.Discard(), OnChange: r.TellLimit})
+	keeper := notice.New(notice.Config{Log: log.Discard(), OnLimit: r.TellLimit})
 	r.Connect(nil, nil, keeper)
 	boxes := rank.Of([]string{"other"})
 	r.SetLive(boxes, boxes)
@@ -107,7 +107,7 @@
 	r.SetGroups(group.New(sample.WithGeneration(1), directory.Directory{}))
 	g := sample.Groups()[0]
 	engine := g.Members[0].Endpoint.Name
-	keeper.Answered(limit.Answered{Endpoint: engine, Limit: pace.LimitOf(2)})
+	keeper.Answered(notice.Answered{Endpoint: engine, Notice: pace.Notice{Limit: pace.LimitOf(2)}})
 	r.Tell("stand-in", g.Key, askOf(1))
 	r.Tell("next", g.Key, schedule.Adopted{Ask: askOf(2)})
 	r.Tell("other", sample.Groups()[1].Key, askOf(3))
--- a/coordination/home/router.go
+++ b/coordination/home/router.go
@@ -10,7 +10,7 @@
 	"sync/atomic"
 	"time"
 
-	"runridge.example/runridge/coordination/limit"
+	"runridge.example/runridge/coordination/notice"
 	"runridge.example/runridge/modules/ring"
 	"runridge.example/runridge/state/group"
 	"runridge.example/runridge/state/lifecycle"
@@ -46,8 +46,9 @@
 	// ranks are the orders that were worked out since the boxes last changed.
 	ranks atomic.Pointer[ranks]
 
-	// limits are those that endpoints name, as far as this box knows; nil is none.
-	limits *limit.Keeper
+	// notices are what endpoints say of themselves, as far as this box knows; nil is
+	// none.
+	notices *notice.Keeper
 	// turn counts the questions, so that of many limits each is told in turn.
 	turn atomic.Uint64
 
@@ -81,12 +82,12 @@
 	return r
 }
 
-// Connect names this box's own home duty, its dispatcher, and what knows the limits that
-// endpoints name; nil knows none.
-func (r *Router) Connect(local *Homes, here Decisions, limits *limit.Keeper) {
+// Connect names this box's own home duty, its dispatcher, and what knows the endpoints'
+// notices; nil knows none.
+func (r *Router) Connect(local *Homes, here Decisions, notices *notice.Keeper) {
 	r.local = local
 	r.here = here
-	r.limits = limits
+	r.notices = notices
 }
 
 // SetLive replaces the list of live boxes, and of those among them that homes
@@ -281,7 +282,7 @@
 	if !ok {
 		return nil
 	}
-	return r.limits.Known(g.Members, r.turn.Add(1))
+	return r.notices.Limits(g.Members, r.turn.Add(1))
 }
 
 // TellLimit tells the homes of an endpoint's groups of the limit that it names.
--- a/coordination/limit/limit_test.go
+++ b/coordination/notice/notice_test.go
@@ -1,7 +1,7 @@
 // Copyright 2026 The Runridge Authors. All rights reserved.
 // SPDX-License-Identifier: MIT
 
-package limit
+package notice
 
 import (
 	"fmt"
@@ -21,7 +21,7 @@
 	changes = new([]schedule.EngineLimit)
 	return New(Config{
 		Log: log.Discard(), Now: func() time.Time { return *now },
-		OnChange: func(l schedule.EngineLimit) { *changes = append(*changes, l) },
+		OnLimit: func(l schedule.EngineLimit) { *changes = append(*changes, l) },
 	}), changes
 }
 
@@ -39,12 +39,12 @@
 		names   bool
 		changes int
 	}{
-		"one that names a limit":           {answers: []Answered{{Limit: three, Served: true}}, names: true, changes: 1},
-		"another one":                      {answers: []Answered{{Limit: three, Served: true}, {Limit: three, Served: true}}, names: true, changes: 1},
-		"another limit":                    {answers: []Answered{{Limit: three, Served: true}, {Limit: pace.LimitOf(2)}}, names: true, changes: 2},
-		"one that turns the request away":  {answers: []Answered{{Limit: three}}, names: true, changes: 1},
-		"one that names none":              {answers: []Answered{{Limit: three}, {Served: true}}, changes: 2},
-		"none named, turned away":          {answers: []Answered{{Limit: three}, {}}, names: true, changes: 1},
+		"one that names a limit":           {answers: []Answered{{Notice: pace.Notice{Limit: three}, Served: true}}, names: true, changes: 1},
+		"another one":                      {answers: []Answered{{Notice: pace.Notice{Limit: three}, Served: true}, {Notice: pace.Notice{Limit: three}, Served: true}}, names: true, changes: 1},
+		"another limit":                    {answers: []Answered{{Notice: pace.Notice{Limit: three}, Served: true}, {Notice: pace.Notice{Limit: pace.LimitOf(2)}}}, names: true, changes: 2},
+		"one that turns the request away":  {answers: []Answered{{Notice: pace.Notice{Limit: three}}}, names: true, changes: 1},
+		"one that names none":              {answers: []Answered{{Notice: pace.Notice{Limit: three}}, {Served: true}}, changes: 2},
+		"none named, turned away":          {answers: []Answered{{Notice: pace.Notice{Limit: three}}, {}}, names: true, changes: 1},
 		"none named where none was before": {answers: []Answered{{Served: true}}},
 	}
 	for name, c := range cases {
@@ -55,8 +55,8 @@
 				a.Endpoint = "e"
 				k.Answered(a)
 			}
-			if k.Names("e") != c.names || len(*changes) != c.changes {
-				t.Errorf("names a limit: %v with %d changes, want %v with %d", k.Names("e"), len(*changes), c.names, c.changes)
+			if k.Limited("e") != c.names || len(*changes) != c.changes {
+				t.Errorf("names a limit: %v with %d changes, want %v with %d", k.Limited("e"), len(*changes), c.names, c.changes)
 			}
 		})
 	}
@@ -65,14 +65,14 @@
 func TestLaterWordCounts(t *testing.T) {
 	now := time.Unix(10, 0)
 	k, changes := keeper(&now)
-	k.Answered(Answered{Endpoint: "e", Limit: three})
+	k.Answered(Answered{Endpoint: "e", Notice: pace.Notice{Limit: three}})
 	now = now.Add(time.Second)
 	k.Heard([]schedule.EngineLimit{{Engine: "e", Age: 2 * time.Second}})
-	if !k.Names("e") {
+	if !k.Limited("e") {
 		t.Error("an older end of a limit counts")
 	}
 	k.Heard([]schedule.EngineLimit{{Engine: "e", Age: 500 * time.Millisecond}, {Engine: "f", Limit: three, Age: time.Second}})
-	if k.Names("e") || !k.Names("f") {
+	if k.Limited("e") || !k.Limited("f") {
 		t.Error("what a home knows later does not count")
 	}
 	if len(*changes) != 1 {
@@ -87,14 +87,14 @@
 	for i := range maxKnown + 1 {
 		now = now.Add(time.Second)
 		all = append(all, fmt.Sprintf("e%d", i))
-		k.Answered(Answered{Endpoint: all[i], Limit: three})
+		k.Answered(Answered{Endpoint: all[i], Notice: pace.Notice{Limit: three}})
 	}
-	if len(k.known) != maxKnown || k.Names(all[0]) || !k.Names(all[1]) {
-		t.Errorf("%d are kept, the oldest among them: %v", len(k.known), k.Names(all[0]))
+	if len(k.known) != maxKnown || k.Limited(all[0]) || !k.Limited(all[1]) {
+		t.Errorf("%d are kept, the oldest among them: %v", len(k.known), k.Limited(all[0]))
 	}
 	group, told := members(all[1:2*maxTold+1]...), make(map[string]bool)
 	for turn := range uint64(3 * maxTold) {
-		some := k.Known(group, turn)
+		some := k.Limits(group, turn)
 		if len(some) != maxTold {
 			t.Fatalf("%d go with a question, want %d", len(some), maxTold)
 		}
@@ -105,16 +105,16 @@
 	if len(told) != len(group) {
 		t.Errorf("%d of %d are told in turn", len(told), len(group))
 	}
-	if got := k.Known(members("e2", "other"), 0); len(got) != 1 || got[0].Age != now.Sub(time.Unix(3, 0)) {
+	if got := k.Limits(members("e2", "other"), 0); len(got) != 1 || got[0].Age != now.Sub(time.Unix(3, 0)) {
 		t.Errorf("of another group %+v is told", got)
 	}
 }
 
 func TestNoKeeper(t *testing.T) {
 	var k *Keeper
-	k.Answered(Answered{Endpoint: "e", Limit: three})
+	k.Answered(Answered{Endpoint: "e", Notice: pace.Notice{Limit: three}})
 	k.Heard([]schedule.EngineLimit{{Engine: "e", Limit: three}})
-	if k.Names("e") || k.Known(members("e"), 0) != nil {
+	if k.Limited("e") || k.Limits(members("e"), 0) != nil {
 		t.Error("without a keeper a limit is kept")
 	}
 }
--- a/coordination/relay/exchange.go
+++ b/coordination/relay/exchange.go
@@ -10,7 +10,6 @@
 
 	"runridge.example/runridge/coordination/adapter"
 	"runridge.example/runridge/coordination/home"
-	"runridge.example/runridge/coordination/limit"
 	"runridge.example/runridge/modules/log"
 	"runridge.example/runridge/state/lifecycle"
 	"runridge.example/runridge/state/schedule"
@@ -121,7 +120,6 @@
 		}
 		return v.brokeOff(ctx, err, result{kind: turnedAway, endpoint: engine.ID, unreached: unreached, reason: "prefill_unanswered"})
 	}
-	v.noteLimit(answer, engine, answer.Success() && !answer.NotRun)
 	if answer.NotRun || !answer.Success() {
 		v.noteArrival()
 		v.noteLeft(answer, engine)
@@ -159,14 +157,6 @@
 	}
 }
 
-// noteLimit takes in the limit that an answer names, if it is its endpoint's own.
-func (v *run) noteLimit(a *Answer, e Endpoint, served bool) {
-	if a.OtherHere {
-		return
-	}
-	v.r.cfg.Limits.Answered(limit.Answered{Request: v.q.ID, Endpoint: e.ID, Limit: a.Limit, Served: served})
-}
-
 // call is the request as it goes to an endpoint.
 func (v *run) call(e Endpoint) Call {
 	return Call{
@@ -227,7 +217,6 @@
 		v.runs++
 		return v.brokeOff(ctx, err, result{kind: failed, endpoint: id, silent: true, reason: "endpoint_unanswered"})
 	}
-	v.noteLimit(answer, e, answer.Signed && !answer.NotRun)
 	if answer.NotRun {
 		v.noteLeft(answer, e)
 		_ = answer.Discard()
--- a/coordination/relay/paced.go
+++ b/coordination/relay/paced.go
@@ -55,7 +55,7 @@
 // bounded says whether an endpoint is cold or names a limit, as far as this box knows.
 func (v *run) bounded(id string) bool {
 	w, known := v.r.cfg.Directory.Directory().Status(id)
-	return known && v.isCold(w) || v.r.cfg.Limits.Names(id)
+	return known && v.isCold(w) || v.r.cfg.Notices.Limited(id)
 }
 
 // reasonNotCounted is why an attempt ended that no home has counted for its endpoint.
--- a/coordination/relay/paced_test.go
+++ b/coordination/relay/paced_test.go
@@ -9,7 +9,7 @@
 	"testing/synctest"
 	"time"
 
-	"runridge.example/runridge/coordination/limit"
+	"runridge.example/runridge/coordination/notice"
 	"runridge.example/runridge/modules/log"
 	"runridge.example/runridge/state/directory"
 	"runridge.example/runridge/state/lifecycle"
@@ -119,8 +119,8 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			v := coldRun(pace.Bound{}, now.Add(c.after))
-			v.r.cfg.Limits = limit.New(limit.Config{Log: log.Discard()})
-			v.r.cfg.Limits.Answered(limit.Answered{Endpoint: "warm", Limit: pace.LimitOf(1)})
+			v.r.cfg.Notices = notice.New(notice.Config{Log: log.Discard()})
+			v.r.cfg.Notices.Answered(notice.Answered{Endpoint: "warm", Notice: pace.Notice{Limit: pace.LimitOf(1)}})
 			v.counted = countedBy(c.grant, now)
 			if v.mayPrefill("warm") != c.sent || v.mayDecode("warm") != c.sent {
 				t.Errorf("may prefill %v, decode %v, want %v", v.mayPrefill("warm"), v.mayDecode("warm"), c.sent)
@@ -147,9 +147,9 @@
 		d := directory.Directory{}.WithList(time.Now(), 1, []directory.Entry{{ID: "e-n1", Service: "s", Zone: "n1"}})
 		r := New(Config{
 			Zone: "n1", Homes: &granting{places: allOne}, Directory: &known{d}, Endpoints: ends, Log: log.Discard(),
-			Limits: limit.New(limit.Config{Log: log.Discard()}), NextID: func() lifecycle.RequestID { return lifecycle.RequestID{} },
+			Notices: notice.New(notice.Config{Log: log.Discard()}), NextID: func() lifecycle.RequestID { return lifecycle.RequestID{} },
 		})
-		r.cfg.Limits.Answered(limit.Answered{Endpoint: "e-n1", Limit: pace.LimitOf(1)})
+		r.cfg.Notices.Answered(notice.Answered{Endpoint: "e-n1", Notice: pace.Notice{Limit: pace.LimitOf(1)}})
 		r.SetTable(table.Table{
 			Generation: 1, Services: []table.Service{{Name: "s", Kind: table.KindRouted}},
 			Routes: []table.Route{{
--- a/coordination/relay/relay.go
+++ b/coordination/relay/relay.go
@@ -14,7 +14,7 @@
 
 	"runridge.example/runridge/coordination/held"
 	"runridge.example/runridge/coordination/home"
-	"runridge.example/runridge/coordination/limit"
+	"runridge.example/runridge/coordination/notice"
 	"runridge.example/runridge/coordination/quarantine"
 	"runridge.example/runridge/coordination/quota"
 	"runridge.example/runridge/modules/log"
@@ -102,8 +102,8 @@
 	Budget retry.Config
 	// Cold bounds what cold endpoints get.
 	Cold pace.Bound
-	// Limits keeps the limits that endpoints name.
-	Limits *limit.Keeper
+	// Notices keeps what endpoints say of themselves in their answers.
+	Notices *notice.Keeper
 	// Held bounds the bytes that are held of answers; nil is no bound.
 	Held *held.Budget
 	Log  log.Logger
--- a/coordination/relay/types.go
+++ b/coordination/relay/types.go
@@ -21,6 +21,8 @@
 	Service string
 	ID      string
 	Address string
+	// Born is the Unix millisecond of its start; 0 is not known.
+	Born int64
 }
 
 // Prompt is what a caller says of a model request.
@@ -101,8 +103,8 @@
 	// NotRun is the endpoint's word that it did not run the request; OtherHere
 	// that another one has its address.
 	NotRun, OtherHere bool
-	// Limit is the limit that the endpoint names with it.
-	Limit pace.Limit
+	// Notice is what the endpoint says of itself with it.
+	Notice pace.Notice
 	// Encoded marks a body that is not as the endpoint made it.
 	Encoded bool
 }
--- a/coordination/relay/where.go
+++ b/coordination/relay/where.go
@@ -63,7 +63,7 @@
 	if reason, ok := v.fits(w); !ok {
 		return Endpoint{}, reason
 	}
-	return Endpoint{Service: v.service.Name, ID: w.ID, Address: w.Address}, ""
+	return Endpoint{Service: v.service.Name, ID: w.ID, Address: w.Address, Born: w.Born}, ""
 }
 
 // placeAlone chooses endpoints without a home: any that the request may go to and has
--- a/protocol/engineapi/engineapi.go
+++ b/protocol/engineapi/engineapi.go
@@ -21,6 +21,9 @@
 // requests a second from all boxes together.
 const HeaderLimit = "Runridge-Limit"
 
+// HeaderLeaving is on all answers of an engine, or of a plain service, that is about to end.
+const HeaderLeaving = "Runridge-Leaving"
+
 // PrefillOrder asks the engine to compute a prompt's KV cache and keep it.
 type PrefillOrder struct {
 	Attempt string `json:"attempt"`
--- a/protocol/relayapi/relayapi.go
+++ b/protocol/relayapi/relayapi.go
@@ -10,6 +10,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net/http"
 	"strconv"
 	"strings"
 	"time"
@@ -47,6 +48,9 @@
 	// Limit is on answers of an endpoint that takes only so many requests a second from
 	// all boxes together.
 	Limit string
+	// Leaving is on all answers of an endpoint that is about to end; its value is
+	// LeavingYes.
+	Leaving string
 	// Reserved are further headers that only a box may set.
 	Reserved []string
 	// FreePath, followed by a handle, is what frees a kept prefill result.
@@ -74,6 +78,7 @@
 		Source:       "Runridge-Source",
 		Account:      "Runridge-Account",
 		Limit:        engineapi.HeaderLimit,
+		Leaving:      engineapi.HeaderLeaving,
 		FreePath:     "/runridge/kept/",
 		HandleField:  "handle",
 		TokensField:  "tokens",
@@ -139,6 +144,38 @@
 	return pace.LimitOf(perSecond)
 }
 
+// LeavingYes is the value of the header that says that an endpoint leaves.
+const LeavingYes = "1"
+
+// headerRetryAfter is when to come again after an answer, in seconds (RFC 9110, section
+// 10.2.3). Dates, which it may have too, are passed over: clocks differ.
+const headerRetryAfter = "Retry-After"
+
+// ParseNotice reads what an answer says of its endpoint. Header gives the value of a field,
+// empty if there is none.
+func (n Names) ParseNotice(status int, header func(name string) string) pace.Notice {
+	out := pace.Notice{
+		Limit:   ParseLimit(header(n.Limit)),
+		Leaving: strings.TrimSpace(header(n.Leaving)) == LeavingYes,
+	}
+	if status == http.StatusServiceUnavailable {
+		out.Rest = parseRest(header(headerRetryAfter))
+	}
+	return out
+}
+
+// parseRest reads a time in seconds, fractions too; what cannot be read is none.
+func parseRest(text string) time.Duration {
+	seconds, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+	if err != nil || !(seconds > 0) {
+		return 0
+	}
+	return time.Duration(min(seconds, maxRestSeconds) * float64(time.Second))
+}
+
+// maxRestSeconds is a day.
+const maxRestSeconds = 24 * 60 * 60
+
 // ParsePrefill reads an engine's answer to a prefill.
 func (n Names) ParsePrefill(body []byte) (handle string, tokens int, err error) {
 	var fields map[string]json.RawMessage
--- a/tests/mutants/limit.go
+++ b/tests/mutants/limit.go
@@ -6,9 +6,9 @@
 const (
 	bucketFile        = "state/pace/bucket.go"
 	scheduleLimitFile = "state/schedule/limit.go"
-	limitKeeperFile   = "coordination/limit/limit.go"
+	limitKeeperFile   = "coordination/notice/notice.go"
 
-	limitTests = "./coordination/limit"
+	limitTests = "./coordination/notice"
 )
 
 var limitOracle = []string{"-run", "TestOracleLimit$", "-rapid.checks=3000", "-rapid.nofailfile"}
@@ -45,11 +45,11 @@
 	},
 	{
 		name: "turned_away_shows_no_limit", file: limitKeeperFile, pkg: limitTests, args: only("TestAnswers"),
-		old: "!a.Limit.Named && !a.Served", fault: "!a.Limit.Named && false",
+		old: "!limit.Named && !a.Served", fault: "!limit.Named && false",
 	},
 	{
 		name: "alone_box_sends_beyond_a_limit", file: relayPacedFile, pkg: relayTests, args: only("TestSendsToLimitedEndpoints"),
-		old: " || v.r.cfg.Limits.Names(id)", fault: "",
+		old: " || v.r.cfg.Notices.Limited(id)", fault: "",
 	},
 	{
 		name: "limits_not_told_with_a_question", file: homeRouterFile, pkg: homeTests, args: only("TestQuestionsTellLimits"),
--- a/transport/enginehttp/enginehttp.go
+++ b/transport/enginehttp/enginehttp.go
@@ -19,7 +19,7 @@
 	"github.com/joomcode/errorx"
 
 	"runridge.example/runridge/coordination/adapter"
-	"runridge.example/runridge/coordination/limit"
+	"runridge.example/runridge/coordination/notice"
 	"runridge.example/runridge/protocol/engineapi"
 	"runridge.example/runridge/protocol/relayapi"
 	"runridge.example/runridge/state/lifecycle"
@@ -39,15 +39,15 @@
 // Client is an adapter.Engine over HTTP.
 type Client struct {
 	clients httpcall.Clients
-	limits  *limit.Keeper
+	notices *notice.Keeper
 }
 
 // Client does what the router asks of an engine.
 var _ adapter.Engine = (*Client)(nil)
 
-// New makes a client, which notes the limits that engines name.
-func New(limits *limit.Keeper) *Client {
-	return &Client{clients: httpcall.New(), limits: limits}
+// New makes a client, which notes what engines say of themselves.
+func New(notices *notice.Keeper) *Client {
+	return &Client{clients: httpcall.New(), notices: notices}
 }
 
 // Close drops idle connections.
@@ -234,9 +234,10 @@
 	if err != nil {
 		return nil, httpcall.TypeAfter(err).Wrap(err, "engine %s", e.Name)
 	}
-	c.limits.Answered(limit.Answered{
-		Request: attempt, Endpoint: e.Name, Limit: relayapi.ParseLimit(resp.Header.Get(engineapi.HeaderLimit)),
-		// Other orders are no requests, and their answers may name none.
+	c.notices.Answered(notice.Answered{
+		Request: attempt, Endpoint: e.Name, Restarts: true,
+		Notice: relayapi.Default().ParseNotice(resp.StatusCode, resp.Header.Get),
+		// Other orders are no requests, and their answers may name no limit.
 		Served: resp.StatusCode == http.StatusOK && (path == engineapi.PathPrefill || path == engineapi.PathDecode),
 	})
 	if err := refusalOf(resp); err != nil {
--- a/transport/plainhttp/plainhttp.go
+++ b/transport/plainhttp/plainhttp.go
@@ -11,8 +11,7 @@
 	"strings"
 
 	"runridge.example/runridge/coordination/adapter"
-	"runridge.example/runridge/coordination/limit"
-	"runridge.example/runridge/protocol/engineapi"
+	"runridge.example/runridge/coordination/notice"
 	"runridge.example/runridge/protocol/relayapi"
 	"runridge.example/runridge/state/lifecycle"
 	"runridge.example/runridge/state/table"
@@ -37,12 +36,12 @@
 // Client passes calls on.
 type Client struct {
 	clients httpcall.Clients
-	limits  *limit.Keeper
+	notices *notice.Keeper
 }
 
-// New makes a client, which notes the limits that endpoints name.
-func New(limits *limit.Keeper) *Client {
-	return &Client{clients: httpcall.New(), limits: limits}
+// New makes a client, which notes what endpoints say of themselves.
+func New(notices *notice.Keeper) *Client {
+	return &Client{clients: httpcall.New(), notices: notices}
 }
 
 // Close drops idle connections.
@@ -82,8 +81,9 @@
 	if err != nil {
 		return nil, httpcall.TypeAfter(err).Wrap(err, "endpoint %s", e.Name)
 	}
-	c.limits.Answered(limit.Answered{
-		Request: call.Attempt.String(), Endpoint: e.Name, Limit: relayapi.ParseLimit(resp.Header.Get(engineapi.HeaderLimit)),
+	c.notices.Answered(notice.Answered{
+		Request: call.Attempt.String(), Endpoint: e.Name, Restarts: true,
+		Notice: relayapi.Default().ParseNotice(resp.StatusCode, resp.Header.Get),
 		Served: resp.StatusCode < http.StatusInternalServerError,
 	})
 	Strip(resp.Header)
--- a/transport/upstream/exchange.go
+++ b/transport/upstream/exchange.go
@@ -193,7 +193,7 @@
 		Signed:    resp.Header.Get(x.names.Signature) != "",
 		NotRun:    resp.Header.Get(x.names.NotRun) != "" || resp.StatusCode == http.StatusMisdirectedRequest,
 		OtherHere: resp.StatusCode == http.StatusMisdirectedRequest,
-		Limit:     relayapi.ParseLimit(resp.Header.Get(x.names.Limit)),
+		Notice:    x.names.ParseNotice(resp.StatusCode, resp.Header.Get),
 		Encoded:   resp.Header.Get("Content-Encoding") != "",
 	}
 	x.conn.idleFor = keepAlive(resp.Header)
--- a/transport/upstream/upstream.go
+++ b/transport/upstream/upstream.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"runridge.example/runridge/coordination/adapter"
+	"runridge.example/runridge/coordination/notice"
 	"runridge.example/runridge/coordination/relay"
 	"runridge.example/runridge/modules/socket"
 	"runridge.example/runridge/protocol/relayapi"
@@ -41,6 +42,8 @@
 	// Share is how many connections this box may have to one endpoint of a
 	// service; 0 is no bound.
 	Share func(service string) int
+	// Notices takes what endpoints say of themselves in their answers; nil is nobody.
+	Notices *notice.Keeper
 }
 
 // Client makes exchanges.
@@ -97,7 +100,19 @@
 		return nil, err
 	}
 	x := &exchange{client: c, conn: k, call: call, names: c.cfg.Names}
-	return x.run(ctx)
+	a, err := x.run(ctx)
+	if err == nil && !a.OtherHere {
+		c.cfg.Notices.Answered(notice.Answered{
+			Request: call.RequestID, Endpoint: call.Endpoint.ID, Born: call.Endpoint.Born,
+			Notice: a.Notice, Served: served(call, a),
+		})
+	}
+	return a, err
+}
+
+// served says whether an answer shows that its endpoint took the request.
+func served(call relay.Call, a *relay.Answer) bool {
+	return !call.Control && !a.NotRun && (a.Signed || call.Prefill && a.Success())
 }
 
 // errShare is returned when the box has all its connections to an endpoint in
