Tests that fail: endpoints that leave, or want rest, go on getting requests

Three boxes, endpoints that say so in their answers, requests to one box; the others are homes that are not told. Most requests that an endpoint got from the box after that: 162 to 176 in eleven cases (leaving, none allowed), 3 to 39 in a rest of 1.5 s (two allowed, nine of eleven cases red), on the product's own interface up to 7,804 and 3,301.

--- a/fakes/engine/engine.go
+++ b/fakes/engine/engine.go
@@ -100,7 +100,10 @@
 	pages     int
 	crashes   int
 
-	limit    atomic.Pointer[float64]
+	limit   atomic.Pointer[float64]
+	leaving atomic.Bool
+	// rest is what the engine asks for with all that it turns away, in nanoseconds.
+	rest     atomic.Int64
 	arrivals arrival.Log
 
 	http   *http.Server
--- a/fakes/engine/http.go
+++ b/fakes/engine/http.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"runridge.example/runridge/protocol/engineapi"
+	"runridge.example/runridge/protocol/relayapi"
 	"runridge.example/runridge/tests/arrival"
 )
 
@@ -32,6 +33,15 @@
 func (e *Engine) counted(serve http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		e.arrivals.Add(time.Now())
+		if e.leaving.Load() {
+			w.Header().Set(engineapi.HeaderLeaving, relayapi.LeavingYes)
+		}
+		if rest := time.Duration(e.rest.Load()); rest > 0 {
+			e.arrivals.AskRest(time.Now(), rest)
+			w.Header().Set("Retry-After", strconv.FormatFloat(rest.Seconds(), 'f', -1, 64))
+			refuse(w, engineapi.CodeNotAccepted, "at rest")
+			return
+		}
 		if limit := e.limit.Load(); limit != nil {
 			w.Header().Set(engineapi.HeaderLimit, strconv.FormatFloat(*limit, 'f', -1, 64))
 		}
@@ -42,6 +52,12 @@
 // NameLimit has the engine name a limit in its answers, in requests a second.
 func (e *Engine) NameLimit(perSecond float64) { e.limit.Store(&perSecond) }
 
+// Leave has the engine say that it leaves.
+func (e *Engine) Leave() { e.leaving.Store(true) }
+
+// Tire has the engine turn requests away and ask for a rest with each.
+func (e *Engine) Tire(rest time.Duration) { e.rest.Store(int64(rest)) }
+
 // Arrivals are the requests that reached the engine.
 func (e *Engine) Arrivals() *arrival.Log { return &e.arrivals }
 
--- a/fakes/plain/plain.go
+++ b/fakes/plain/plain.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"runridge.example/runridge/protocol/engineapi"
+	"runridge.example/runridge/protocol/relayapi"
 	"runridge.example/runridge/tests/arrival"
 )
 
@@ -29,6 +30,8 @@
 	// cut makes the next calls run and break off before the answer.
 	cut      int
 	limit    *float64
+	leaving  bool
+	rest     time.Duration
 	arrivals arrival.Log
 	addr     string
 	server   *http.Server
@@ -74,6 +77,20 @@
 	s.limit = &perSecond
 }
 
+// Leave has the service say that it leaves.
+func (s *Server) Leave() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.leaving = true
+}
+
+// Tire has the service turn calls away and ask for a rest with each.
+func (s *Server) Tire(rest time.Duration) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.rest = rest
+}
+
 // Arrivals are the calls that reached the service.
 func (s *Server) Arrivals() *arrival.Log { return &s.arrivals }
 
@@ -84,6 +101,16 @@
 	if s.limit != nil {
 		w.Header().Set(engineapi.HeaderLimit, strconv.FormatFloat(*s.limit, 'f', -1, 64))
 	}
+	if s.leaving {
+		w.Header().Set(engineapi.HeaderLeaving, relayapi.LeavingYes)
+	}
+	if s.rest > 0 {
+		s.arrivals.AskRest(time.Now(), s.rest)
+		w.Header().Set("Retry-After", strconv.FormatFloat(s.rest.Seconds(), 'f', -1, 64))
+		w.WriteHeader(http.StatusServiceUnavailable)
+		s.mutex.Unlock()
+		return
+	}
 	s.runs[r.Header.Get(HeaderKey)]++
 	cut := s.cut > 0
 	if cut {
--- a/tests/arrival/arrival.go
+++ b/tests/arrival/arrival.go
@@ -13,6 +13,13 @@
 type Log struct {
 	mutex sync.Mutex
 	times []time.Time
+	rests []rest
+}
+
+// rest is a time in which nothing was to come.
+type rest struct {
+	from   time.Time
+	length time.Duration
 }
 
 // Add notes an arrival.
@@ -35,6 +42,37 @@
 	return n
 }
 
+// AskRest notes that the endpoint asks for a rest from a moment on.
+func (l *Log) AskRest(from time.Time, length time.Duration) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.rests = append(l.rests, rest{from: from, length: length})
+}
+
+// Rests is the number of rests that were asked for.
+func (l *Log) Rests() int {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return len(l.rests)
+}
+
+// DuringRests is the most arrivals in any rest, from a time after it was asked for on.
+func (l *Log) DuringRests(heard time.Duration) int {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	most := 0
+	for _, r := range l.rests {
+		n := 0
+		for _, at := range l.times {
+			if since := at.Sub(r.from); since >= heard && since < r.length {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	return most
+}
+
 // Fullest is the most arrivals in any window of a length, from a moment on.
 func (l *Log) Fullest(length time.Duration, from time.Time) int {
 	l.mutex.Lock()
--- a/tests/routed/limit_test.go
+++ b/tests/routed/limit_test.go
@@ -30,10 +30,10 @@
 	pressed = 2
 )
 
-// wasTold says whether a box has logged that an endpoint names its limit.
-func (s *site) wasTold(box, endpoint string) bool {
+// logged says whether a box has logged a message about an endpoint.
+func (s *site) logged(message, box, endpoint string) bool {
 	for line := range strings.Lines(s.logs.String()) {
-		if strings.Contains(line, "msg=endpoint_limit_told") && strings.Contains(line, "box="+box+" ") &&
+		if strings.Contains(line, "msg="+message) && strings.Contains(line, "box="+box+" ") &&
 			strings.Contains(line, "engine="+endpoint+" ") {
 			return true
 		}
@@ -47,7 +47,7 @@
 	s.t.Helper()
 	for i := range boxes {
 		for _, id := range endpoints {
-			s.eventually("the box is told the limit", func() bool { return s.wasTold(fmt.Sprintf("box-%d", i+1), id) })
+			s.eventually("the box is told the limit", func() bool { return s.logged("endpoint_limit_told", fmt.Sprintf("box-%d", i+1), id) })
 		}
 	}
 	time.Sleep(toldTime)
