An endpoint that says that it leaves gets nothing more from the box it told

Cause: boxes read of answers only what concerns the request and the limit. That an endpoint leaves was known from its entry in the store alone.

A box keeps that with the limits (coordination/notice) for as long as this start of the endpoint lasts; where a name does not tell starts apart, on the product's own interface, for a minute after the last answer that says so. Each path that sends asks it last, whoever granted: prefill and decode, repeats, spill, boxes that place alone, orders of stages. Questions name the endpoints that the box may not send to, so that the home chooses others, and those that leave, which count as leaving for all boxes for 5 s after the last word. A service whose endpoints all leave refuses at once.

--- a/box/shared.go
+++ b/box/shared.go
@@ -66,10 +66,10 @@
 // findEngine gives an engine that may get orders.
 func (b *Box) findEngine(id string) (stages.Engine, bool) {
 	w, ok := b.routed.discoverer.Directory().Status(id)
-	if !ok || !w.Usable() {
+	if !ok || !w.Usable() || !b.notices.Standing(id).Open() {
 		return stages.Engine{}, false
 	}
-	return stages.Engine{ID: w.ID, Service: w.Service, Address: w.Address}, true
+	return stages.Engine{ID: w.ID, Service: w.Service, Address: w.Address, Born: w.Born}, true
 }
 
 // laterStages reaches the part that orders changes of stages, which is made after
--- a/coordination/dispatch/driver.go
+++ b/coordination/dispatch/driver.go
@@ -171,7 +171,7 @@
 	if f.event.Ran != lifecycle.NotRun {
 		v.suspect.BrokeOff(f.event.Engine, f.broke, time.Since(v.work.begun))
 	}
-	if !f.event.Gone && !f.notCounted {
+	if !f.event.Gone && !f.withheld {
 		v.report.Failed = f.event.Engine
 	}
 	f.event.Retry = !f.final && v.machine.Attempt < v.d.cfg.MaxAttempts && v.d.mayRetry()
--- a/coordination/dispatch/orders.go
+++ b/coordination/dispatch/orders.go
@@ -31,10 +31,10 @@
 	}
 	attempt, prompt := v.attempt(), v.prompt()
 	engine, ok := v.endpoint(e.Engine)
-	may := v.mayPrefill(e.Engine)
+	withheld := v.withholdPrefill(e.Engine)
 	v.order(func(ctx context.Context) {
-		if !may {
-			v.leaveOut(e.Attempt, e.Engine)
+		if withheld != "" {
+			v.leaveOut(e.Attempt, e.Engine, withheld)
 			return
 		}
 		if !ok {
@@ -79,10 +79,10 @@
 		OutputTokens: v.request.OutputTokens - v.machine.Emitted,
 	}
 	patience := v.moveTimeout
-	may := v.mayDecode(e.To)
+	withheld := v.withholdDecode(e.To)
 	v.order(func(ctx context.Context) {
-		if !may {
-			v.leaveOut(e.Attempt, e.To)
+		if withheld != "" {
+			v.leaveOut(e.Attempt, e.To, withheld)
 			return
 		}
 		if !ok || !known {
@@ -134,10 +134,10 @@
 		p := v.prompt()
 		order.Recompute = &p
 	}
-	may := v.mayDecode(e.Engine)
+	withheld := v.withholdDecode(e.Engine)
 	v.order(func(ctx context.Context) {
-		if !may {
-			v.leaveOut(e.Attempt, e.Engine)
+		if withheld != "" {
+			v.leaveOut(e.Attempt, e.Engine, withheld)
 			return
 		}
 		if !ok {
@@ -251,9 +251,8 @@
 	// exchange broke off, if it did.
 	final bool
 	broke adapter.Break
-	// notCounted says that nothing was sent, as no home has counted the attempt for the
-	// engine, which is not to blame.
-	notCounted bool
+	// withheld says that nothing was sent, and the engine is not to blame.
+	withheld bool
 }
 
 // endpoint finds an engine in the table in force, and remembers it: what it
--- a/coordination/dispatch/paced.go
+++ b/coordination/dispatch/paced.go
@@ -10,33 +10,64 @@
 	"runridge.example/runridge/state/lifecycle"
 )
 
-// mayPrefill says whether an engine may be ordered the prefill now: one that names a limit
-// gets only what its group's home has counted for it.
-func (v *driver) mayPrefill(engine string) bool {
+// Reasons for which an order is not sent.
+const (
+	reasonNotCounted = "endpoint_not_counted"
+	reasonLeaving    = "endpoint_leaving"
+)
+
+// withholdPrefill says why an engine may not be ordered the prefill now: it leaves, or it
+// names a limit and no home has counted the attempt for it. Empty is that it may.
+func (v *driver) withholdPrefill(engine string) string {
+	if reason := v.closed(engine); reason != "" {
+		return reason
+	}
+	if v.prefillCounted(engine) {
+		return ""
+	}
+	return reasonNotCounted
+}
+
+func (v *driver) prefillCounted(engine string) bool {
 	return !v.counted.Prefill && !v.d.cfg.Notices.Limited(engine) || v.counted.PrefillAt(time.Now())
 }
 
-// mayDecode says the same of an order to the attempt's decode engine. Only the first one
-// counts, so it notes that the engine is reached.
-func (v *driver) mayDecode(engine string) bool {
+// withholdDecode says the same of an order to the attempt's decode engine. Only the first one
+// counts, so it notes that the engine is reached; what it has begun goes on.
+func (v *driver) withholdDecode(engine string) string {
+	if reason := v.closed(engine); reason != "" && !v.reached {
+		return reason
+	}
+	if v.decodeCounted(engine) {
+		return ""
+	}
+	return reasonNotCounted
+}
+
+// closed says why an engine gets nothing by what it told this box; empty is that it may.
+func (v *driver) closed(engine string) string {
+	if v.d.cfg.Notices.Standing(engine).Leaving {
+		return reasonLeaving
+	}
+	return ""
+}
+
+func (v *driver) decodeCounted(engine string) bool {
 	may := v.reached || !v.counted.Decode && !v.d.cfg.Notices.Limited(engine) || v.counted.DecodeAt(time.Now())
 	v.reached = v.reached || may
 	return may
 }
 
-// reasonNotCounted is why an order is not sent that no home has counted for its engine.
-const reasonNotCounted = "endpoint_not_counted"
-
 // leaveOut ends an order that is not sent. Another attempt may follow.
-func (v *driver) leaveOut(number uint32, engine string) {
+func (v *driver) leaveOut(number uint32, engine, reason string) {
 	v.d.cfg.Log.WithFields(log.Fields{
 		log.FieldRequest: v.call.ID.String(),
 		log.FieldAttempt: number,
 		log.FieldEngine:  engine,
-		log.FieldReason:  reasonNotCounted,
+		log.FieldReason:  reason,
 	}).Info("order_failed")
 	v.call.post(failure{
-		notCounted: true,
+		withheld: true,
 		event: lifecycle.StepFailed{
 			Attempt: number, Ran: lifecycle.NotRun, Reason: lifecycle.ReasonOverloaded, Engine: engine,
 		},
--- a/coordination/home/router.go
+++ b/coordination/home/router.go
@@ -255,11 +255,13 @@
 }
 
 // Tell sends a body to the named home. What asks for a plan, or takes one along, tells what
-// this box knows of the limits that the group's endpoints name.
+// this box knows of the limits that the group's endpoints name; what asks for a plan, to which
+// of them this box may not send.
 func (r *Router) Tell(box, group string, body Body) ring.Outcome {
 	switch b := body.(type) {
 	case schedule.Ask:
 		b.Limits = r.limitsOf(group)
+		b.Barred, b.Leaving = r.closedOf(group)
 		body = b
 	case schedule.Adopted:
 		b.Ask.Limits = r.limitsOf(group)
@@ -274,17 +276,45 @@
 
 // limitsOf is what this box knows of the limits that a group's endpoints name.
 func (r *Router) limitsOf(key string) []schedule.EngineLimit {
-	groups := r.groups.Load()
-	if groups == nil {
-		return nil
-	}
-	g, ok := groups.Get(key)
+	g, ok := r.group(key)
 	if !ok {
 		return nil
 	}
 	return r.notices.Limits(g.Members, r.turn.Add(1))
 }
 
+// closedOf are the endpoints of a group that this box may not send to, and those of them
+// that leave.
+func (r *Router) closedOf(key string) (barred, leaving []string) {
+	closed := r.notices.Closed()
+	if len(closed) == 0 {
+		return nil, nil
+	}
+	g, ok := r.group(key)
+	if !ok {
+		return nil, nil
+	}
+	for _, c := range closed {
+		if !g.Has(c.Endpoint) {
+			continue
+		}
+		barred = append(barred, c.Endpoint)
+		if c.Leaving {
+			leaving = append(leaving, c.Endpoint)
+		}
+	}
+	return barred, leaving
+}
+
+// group finds a group by its key.
+func (r *Router) group(key string) (*table.Group, bool) {
+	groups := r.groups.Load()
+	if groups == nil {
+		return nil, false
+	}
+	return groups.Get(key)
+}
+
 // TellLimit tells the homes of an endpoint's groups of the limit that it names.
 func (r *Router) TellLimit(l schedule.EngineLimit) {
 	groups := r.groups.Load()
@@ -293,7 +323,7 @@
 	}
 	for _, key := range groups.Layout().Keys() {
 		g, ok := groups.Get(key)
-		if !ok || !slices.ContainsFunc(g.Members, func(m table.Member) bool { return m.Endpoint.Name == l.Engine }) {
+		if !ok || !g.Has(l.Engine) {
 			continue
 		}
 		if box := r.HomeOf(key); box != "" {
--- a/coordination/notice/notice.go
+++ b/coordination/notice/notice.go
@@ -79,7 +79,7 @@
 }
 
 // Open says whether the box may send.
-func (s Standing) Open() bool { return !s.Leaving && s.Rest <= 0 }
+func (s Standing) Open() bool { return !s.Leaving }
 
 // Closed is an endpoint that this box may not send to.
 type Closed struct {
--- a/coordination/notice/notice_test.go
+++ b/coordination/notice/notice_test.go
@@ -80,6 +80,70 @@
 	}
 }
 
+// step is an answer, or a passage of time.
+type step struct {
+	notice pace.Notice
+	born   int64
+	// restarts says that the endpoint's name does not tell its starts apart.
+	restarts bool
+	// after is the time before it.
+	after time.Duration
+}
+
+func TestEndpointsAreClosed(t *testing.T) {
+	leaving := pace.Notice{Leaving: true}
+	cases := map[string]struct {
+		steps []step
+		// after is the time since the last step, and born the start that is known by then.
+		after time.Duration
+		born  int64
+		want  Standing
+	}{
+		"nothing said":                   {steps: []step{{}}},
+		"leaves":                         {steps: []step{{notice: leaving}}, want: Standing{Leaving: true}},
+		"leaves, a later answer is bare": {steps: []step{{notice: leaving}, {}}, after: time.Hour, want: Standing{Leaving: true}},
+		"left, and started again":        {steps: []step{{notice: leaving, born: 1}}, born: 2},
+		"may have started again":         {steps: []step{{notice: leaving, restarts: true}}, after: restartTime},
+		"has hardly started again":       {steps: []step{{notice: leaving, restarts: true}}, after: restartTime - 1, want: Standing{Leaving: true}},
+		"a limit beside":                 {steps: []step{{notice: pace.Notice{Leaving: true, Limit: three}}}, want: Standing{Leaving: true}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			k := New(Config{Log: log.Discard(), Now: func() time.Time { return now }, Born: func(string) int64 { return c.born }})
+			for _, s := range c.steps {
+				now = now.Add(s.after)
+				k.Answered(Answered{Endpoint: "e", Born: s.born, Restarts: s.restarts, Notice: s.notice, Served: true})
+			}
+			now = now.Add(c.after)
+			if got := k.Standing("e"); got != c.want {
+				t.Errorf("stands at %+v, want %+v", got, c.want)
+			}
+			closed := k.Closed()
+			if c.want.Open() != (len(closed) == 0) || len(closed) > 0 && closed[0] != (Closed{Endpoint: "e", Standing: c.want}) {
+				t.Errorf("closed are %+v, want %+v", closed, c.want)
+			}
+			if k.Standing("other") != (Standing{}) {
+				t.Error("another endpoint is closed")
+			}
+		})
+	}
+}
+
+// TestClosedEndpointsAreKept has more endpoints name limits than are kept.
+func TestClosedEndpointsAreKept(t *testing.T) {
+	now := time.Unix(0, 0)
+	k, _ := keeper(&now)
+	k.Answered(Answered{Endpoint: "leaves", Notice: pace.Notice{Leaving: true}})
+	for i := range 2 * maxKnown {
+		now = now.Add(time.Second)
+		k.Answered(Answered{Endpoint: fmt.Sprintf("e%d", i), Notice: pace.Notice{Limit: three}})
+	}
+	if len(k.known) != maxKnown || k.Standing("leaves").Open() {
+		t.Errorf("%d are kept, the endpoint that leaves is open: %v", len(k.known), k.Standing("leaves").Open())
+	}
+}
+
 func TestKnownIsBounded(t *testing.T) {
 	now := time.Unix(0, 0)
 	k, _ := keeper(&now)
@@ -114,7 +178,7 @@
 	var k *Keeper
 	k.Answered(Answered{Endpoint: "e", Notice: pace.Notice{Limit: three}})
 	k.Heard([]schedule.EngineLimit{{Engine: "e", Limit: three}})
-	if k.Limited("e") || k.Limits(members("e"), 0) != nil {
+	if k.Limited("e") || k.Limits(members("e"), 0) != nil || !k.Standing("e").Open() || k.Closed() != nil {
 		t.Error("without a keeper a limit is kept")
 	}
 }
--- a/coordination/relay/paced_test.go
+++ b/coordination/relay/paced_test.go
@@ -131,8 +131,8 @@
 			}
 			for n := range uint64(8) {
 				v.id.Sequence = n
-				if got, heldBack := v.placeAlone(); got.Decode != "cold" || heldBack {
-					t.Errorf("placed alone at %q, held back %v", got.Decode, heldBack)
+				if got, withheld := v.placeAlone(); got.Decode != "cold" || withheld != "" {
+					t.Errorf("placed alone at %q, withheld %q", got.Decode, withheld)
 				}
 			}
 		})
--- a/coordination/relay/run.go
+++ b/coordination/relay/run.go
@@ -285,10 +285,10 @@
 	plan := said.grant.Plan
 	v.counted = countedBy(said.grant, said.asked)
 	if said.alone {
-		var heldBack bool
-		if plan, heldBack = v.placeAlone(); heldBack {
+		var withheld string
+		if plan, withheld = v.placeAlone(); withheld != "" {
 			// Asking again would hold the caller for as long as its homes are silent.
-			return result{kind: refused, reason: reasonNotCounted, retryAfter: silentHomeRetry}
+			return result{kind: refused, reason: withheld, retryAfter: silentHomeRetry}
 		}
 	}
 	v.plan, v.alone = plan, said.alone
@@ -298,7 +298,7 @@
 	v.steps, v.stepTime = 0, 0
 	res := v.carryOut(ctx, a, plan)
 	report.Finished = res.kind == delivered
-	if res.reason != reasonNotCounted {
+	if !isWithheld(res.reason) {
 		report.Failed = res.endpoint
 	}
 	report.Unreached = res.unreached
--- a/coordination/relay/where.go
+++ b/coordination/relay/where.go
@@ -6,6 +6,7 @@
 import (
 	"slices"
 
+	"runridge.example/runridge/coordination/notice"
 	"runridge.example/runridge/state/directory"
 	"runridge.example/runridge/state/group"
 	"runridge.example/runridge/state/lifecycle"
@@ -17,8 +18,13 @@
 	reasonLeft      = "endpoint_left"
 	reasonDrained   = "zone_drained"
 	reasonForbidden = "region_not_allowed"
+	reasonLeaving   = "endpoint_leaving"
 )
 
+// isWithheld says whether a request that does not go to an endpoint for a reason is kept from
+// it by this box alone: the endpoint serves others, and has not failed.
+func isWithheld(reason string) bool { return reason == reasonLeaving || reason == reasonNotCounted }
+
 // bind looks up in which regions the request may be served: both its route and its
 // account bind, by the table in force.
 func (v *run) bind() {
@@ -49,9 +55,20 @@
 		return reasonDrained, false
 	case !w.Usable():
 		return reasonLeft, false
-	default:
-		return "", true
 	}
+	if reason := closedReason(v.r.cfg.Notices.Standing(w.ID)); reason != "" {
+		return reason, false
+	}
+	return "", true
+}
+
+// closedReason is why an endpoint gets nothing by what it told this box; empty is that it
+// may.
+func closedReason(s notice.Standing) string {
+	if s.Leaving {
+		return reasonLeaving
+	}
+	return ""
 }
 
 // endpoint finds an endpoint that may get the request now; without one it says why.
@@ -67,43 +84,58 @@
 }
 
 // placeAlone chooses endpoints without a home: any that the request may go to and has
-// not met. One that is cold or names a limit is left out, since nobody counts what it gets;
-// heldBack says that there is no other.
-func (v *run) placeAlone() (plan lifecycle.Plan, heldBack bool) {
+// not met. One that is cold or names a limit is left out, since nobody counts what it gets.
+// Withheld is why endpoints were left out that serve others, where there is no other.
+func (v *run) placeAlone() (plan lifecycle.Plan, withheld string) {
 	var fit []string
-	bounded := 0
 	for _, w := range v.r.cfg.Directory.Directory().Statuses(v.service.Name) {
-		_, ok := v.fits(w)
+		reason, ok := v.fits(w)
 		switch {
-		case !ok, w.Stage == directory.StagePrefill, slices.Contains(v.avoid, w.ID):
+		case w.Stage == directory.StagePrefill, slices.Contains(v.avoid, w.ID):
+		case !ok && isWithheld(reason):
+			withheld = reason
+		case !ok:
 		case v.bounded(w.ID):
-			bounded++
+			withheld = reasonNotCounted
 		default:
 			fit = append(fit, w.ID)
 		}
 	}
 	if len(fit) == 0 {
-		return lifecycle.Plan{}, bounded > 0
+		return lifecycle.Plan{}, withheld
 	}
-	return lifecycle.Plan{Mode: lifecycle.Recompute, Decode: fit[int(v.id.Sequence)%len(fit)]}, false
+	return lifecycle.Plan{Mode: lifecycle.Recompute, Decode: fit[int(v.id.Sequence)%len(fit)]}, ""
 }
 
 // mayAsk says whether a group may have an endpoint for the request.
 func (v *run) mayAsk(known directory.Directory, p group.Place) bool {
-	if p.Zone != "" {
-		return v.mayGo(p.Zone) && !known.ZoneDrained(p.Zone)
+	if p.Zone != "" && (!v.mayGo(p.Zone) || known.ZoneDrained(p.Zone)) {
+		return false
+	}
+	if !v.anyClosed() && (p.Zone != "" || !v.allowed.Bound()) {
+		return true
 	}
-	return !v.allowed.Bound() || slices.ContainsFunc(v.endpointsOf(known, p), func(w directory.Status) bool {
+	return slices.ContainsFunc(v.endpointsOf(known, p), func(w directory.Status) bool {
 		_, ok := v.fits(w)
 		return ok
 	})
 }
 
-// endpointsOf lists the endpoints of a group of several zones. Where it is not known
-// in which region they are, they may be any of the service.
+// anyClosed says whether an endpoint of the request's service gets nothing by what it told
+// this box.
+func (v *run) anyClosed() bool {
+	known := v.r.cfg.Directory.Directory()
+	return slices.ContainsFunc(v.r.cfg.Notices.Closed(), func(c notice.Closed) bool {
+		w, found := known.Status(c.Endpoint)
+		return found && w.Service == v.service.Name
+	})
+}
+
+// endpointsOf lists the endpoints of a group. Where it is not known in which zone or region
+// they are, they may be any of the service.
 func (v *run) endpointsOf(known directory.Directory, p group.Place) []directory.Status {
 	return slices.DeleteFunc(known.Statuses(v.service.Name), func(w directory.Status) bool {
-		return p.Region != "" && v.r.cfg.Regions.Of(w.Zone) != p.Region
+		return p.Zone != "" && w.Zone != p.Zone || p.Region != "" && v.r.cfg.Regions.Of(w.Zone) != p.Region
 	})
 }
 
@@ -136,5 +168,10 @@
 	if v.allowed.Bound() && !slices.ContainsFunc(v.r.cfg.Homes.PlacesOf(v.service.Name), permitted) {
 		return reasonForbidden
 	}
+	for _, w := range known.Statuses(v.service.Name) {
+		if reason, ok := v.fits(w); !ok && isWithheld(reason) {
+			return reason
+		}
+	}
 	return string(lifecycle.ReasonNoEngine)
 }
--- a/coordination/stages/stages.go
+++ b/coordination/stages/stages.go
@@ -59,6 +59,8 @@
 // Engine is where an order goes.
 type Engine struct {
 	ID, Service, Address string
+	// Born is the Unix millisecond of its start; 0 is not known.
+	Born int64
 }
 
 // Engines takes orders. An error of Order that is ErrRefused proves that the order
--- a/protocol/boxwire/boxwire_test.go
+++ b/protocol/boxwire/boxwire_test.go
@@ -98,6 +98,7 @@
 			Marks: []uint64{11, 12}, MarkTokens: []int{256, 512}, Waited: 3 * time.Millisecond,
 			Avoid: []string{"lm-porta-decode-2"}, Kept: "lm-porta-prefill-1", Resume: true,
 			Patience: 4 * time.Second, Spill: true,
+			Barred: []string{"lm-porta-decode-1", "lm-porta-prefill-2"}, Leaving: []string{"lm-porta-decode-1"},
 		}
 		convey.Convey("comes back whole", func() {
 			got, known := FromAsk("lm-porta", want).Ask(names, owner)
--- a/protocol/boxwire/group.go
+++ b/protocol/boxwire/group.go
@@ -74,6 +74,8 @@
 	GiveUpMS   int64
 	TravelMS   int64
 	Limits     []Limit
+	Barred     []Ref
+	Leaving    []Ref
 }
 
 // Refuse turns an ask away.
@@ -187,6 +189,8 @@
 		GiveUpMS:     a.GiveUp.Milliseconds(),
 		TravelMS:     a.Travel.Milliseconds(),
 		Limits:       fromLimits(a.Limits),
+		Barred:       refsOf(a.Barred),
+		Leaving:      refsOf(a.Leaving),
 	}
 	for _, hash := range a.Marks {
 		m.Marks = append(m.Marks, uint32(hash))
@@ -225,6 +229,8 @@
 		GiveUp:       time.Duration(a.GiveUpMS) * time.Millisecond,
 		Travel:       time.Duration(a.TravelMS) * time.Millisecond,
 		Limits:       limitsOf(n, a.Limits),
+		Barred:       n.known(a.Barred),
+		Leaving:      n.known(a.Leaving),
 	}
 	for i, hash := range a.Marks {
 		out.Marks = append(out.Marks, uint64(hash))
--- a/protocol/boxwire/names.go
+++ b/protocol/boxwire/names.go
@@ -80,6 +80,17 @@
 	return out, true
 }
 
+// known looks several refs up and leaves out those that are not found.
+func (n *Names) known(refs []Ref) []string {
+	var out []string
+	for _, r := range refs {
+		if name, ok := n.Name(r); ok {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
 func refsOf(names []string) []Ref {
 	if len(names) == 0 {
 		return nil
--- a/state/schedule/admit.go
+++ b/state/schedule/admit.go
@@ -216,7 +216,7 @@
 }
 
 func (g *Group) freestDecode(t int64, gr *grant) int {
-	g.setOut(t, gr.ask.Avoid)
+	g.setOut(t, gr.ask)
 	if g.cfg.Growing {
 		g.forecastMemory(t, gr.ask)
 	}
--- a/state/schedule/baseline.go
+++ b/state/schedule/baseline.go
@@ -13,7 +13,7 @@
 // engines' own queues take what does not fit.
 func (g *Group) baseline(now time.Time, a Ask) []Decision {
 	t := sinceStart(g.start, now)
-	g.setOut(t, a.Avoid)
+	g.setOut(t, a)
 	p := g.pick(func(v *EngineView) bool { return v.Prefill }, func(v *EngineView) int { return v.Queued })
 	d := g.pick(func(v *EngineView) bool { return v.Decode }, func(v *EngineView) int { return v.Held })
 	if d == none {
--- a/state/schedule/group.go
+++ b/state/schedule/group.go
@@ -64,6 +64,8 @@
 	warm  speed
 	paced pace.Window
 	limit limited
+	// leavingUntil is until when the engine counts as leaving by what it told boxes.
+	leavingUntil int64
 }
 
 // unknownReports is how many reports must agree before the group believes
@@ -146,6 +148,9 @@
 	coldLimitAt int64
 	// coldChanges are engines that became cold or warm and nobody was told of yet.
 	coldChanges []ColdChange
+	// stranded says that engines have begun to leave since it was last looked whether
+	// those that wait have any left.
+	stranded bool
 }
 
 func (c Config) withDefaults() Config {
@@ -184,7 +189,10 @@
 		// The answer was lost; it stands as it was.
 		return []Decision{g.grantOf(sinceStart(g.start, now), gr)}
 	}
-	if g.waits(a.ID) {
+	t := sinceStart(g.start, now)
+	g.noteLeaving(t, a.Leaving)
+	if w := g.waits(a.ID); w != nil {
+		w.ask.Barred = a.Barred
 		return []Decision{Queued{Ask: a}}
 	}
 	if len(g.engines) == 0 {
@@ -196,7 +204,6 @@
 	if g.cfg.Policy.Baseline() {
 		return g.baseline(now, a)
 	}
-	t := sinceStart(g.start, now)
 	g.begin(t)
 	if !a.Resume && !a.Spill && !a.Late {
 		g.asks = g.asks.plus(t, 1, asksHalfLife)
--- a/state/schedule/late.go
+++ b/state/schedule/late.go
@@ -47,7 +47,7 @@
 	if g.othersWait() {
 		return false
 	}
-	g.setOut(t, a.Avoid)
+	g.setOut(t, a)
 	if g.cfg.Growing {
 		g.forecastMemory(t, a)
 	}
--- a/state/schedule/pace.go
+++ b/state/schedule/pace.go
@@ -124,10 +124,10 @@
 func (e *engine) bounded() bool { return e.cold || e.limit.Named }
 
 // updatePace has the view say which engines are held back now, if any may be.
-func (g *Group) updatePace(t int64, avoid []string) {
+func (g *Group) updatePace(t int64, a Ask) {
 	g.noteCold(t)
 	if slices.ContainsFunc(g.engines, func(e engine) bool { return e.bounded() }) {
-		g.setOut(t, avoid)
+		g.setOut(t, a)
 	}
 }
 
--- a/state/schedule/queue.go
+++ b/state/schedule/queue.go
@@ -10,8 +10,13 @@
 	"runridge.example/runridge/state/lifecycle"
 )
 
-func (g *Group) waits(id lifecycle.AttemptID) bool {
-	return slices.ContainsFunc(g.waiting, func(w *waiter) bool { return w.ask.ID == id })
+// waits is the waiter of an ask, if it is in the queue.
+func (g *Group) waits(id lifecycle.AttemptID) *waiter {
+	i := slices.IndexFunc(g.waiting, func(w *waiter) bool { return w.ask.ID == id })
+	if i < 0 {
+		return nil
+	}
+	return g.waiting[i]
 }
 
 // waiter works out an ask's deadline and its time on an idle system.
@@ -92,6 +97,10 @@
 func (g *Group) pump(now time.Time) []Decision {
 	t := sinceStart(g.start, now)
 	out := g.fillOpen(t)
+	if g.stranded {
+		g.stranded = false
+		out = append(out, g.refuseStranded(t)...)
+	}
 	out = g.dropHopeless(t, out)
 	for len(g.waiting) > 0 {
 		d, ok := g.startOne(t)
@@ -133,7 +142,7 @@
 	a := w.ask
 	g.setCached(a)
 	defer g.clearCached(a)
-	g.setOut(t, a.Avoid)
+	g.setOut(t, a)
 	g.weighZones(t)
 	g.bind(t, w.idle)
 	if g.cfg.Growing {
@@ -191,14 +200,14 @@
 // the few seconds that its result is kept.
 const bookAhead = 250 * time.Millisecond
 
-// setOut takes engines that are ejected, to be avoided, or held back out of the view.
-func (g *Group) setOut(t int64, avoid []string) {
+// setOut takes engines that are ejected, not for the ask, or held back out of the view.
+func (g *Group) setOut(t int64, a Ask) {
 	now := g.start.Add(time.Duration(t))
 	g.noteCold(t)
 	defer g.holdBack(t)
 	for i := range g.engines {
 		e, v := &g.engines[i], &g.view.Engines[i]
-		out := e.spec.Leaving || e.breaker.Out(now) || t < e.fullUntil || t < e.changingUntil || slices.Contains(avoid, e.spec.Name)
+		out := e.leaves(t) || e.breaker.Out(now) || t < e.fullUntil || t < e.changingUntil || a.excludes(e.spec.Name)
 		v.Prefill = e.spec.Prefill && !out && !e.results.Out(now)
 		v.Decode = e.spec.Decode && !out
 		if v.Queued > 0 && v.FreeAt < t {
--- a/state/schedule/refuse.go
+++ b/state/schedule/refuse.go
@@ -12,7 +12,7 @@
 
 // refuseEarly turns away what would be refused later anyway, before it waits.
 func (g *Group) refuseEarly(w *waiter, t int64) (Refuse, bool) {
-	g.updatePace(t, w.ask.Avoid)
+	g.updatePace(t, w.ask)
 	refuse := func(reason lifecycle.Reason, after, wait int64) (Refuse, bool) {
 		retry := max(time.Duration(after), retryFloor)
 		if reason == lifecycle.ReasonHopeless && !w.ask.Spill && !w.late {
@@ -20,7 +20,7 @@
 		}
 		return Refuse{Ask: w.ask, Reason: reason, RetryAfter: retry, Seen: g.inputs(w, t, wait)}, true
 	}
-	if !g.canDecode(w.ask.Avoid) {
+	if !g.canDecode(t, w.ask) {
 		return refuse(lifecycle.ReasonNoEngine, int64(noEngineRetry), g.waitNS(w, t))
 	}
 	if w.ask.Resume {
@@ -111,11 +111,11 @@
 	return patience
 }
 
-// canDecode says whether the group has any engine to decode on for an ask that
-// avoids some. One that is ejected counts: it comes back.
-func (g *Group) canDecode(avoid []string) bool {
+// canDecode says whether the group has any engine to decode on for an ask. One that is
+// ejected counts: it comes back.
+func (g *Group) canDecode(t int64, a Ask) bool {
 	return slices.ContainsFunc(g.engines, func(e engine) bool {
-		return e.spec.Decode && !e.spec.Leaving && !slices.Contains(avoid, e.spec.Name)
+		return e.spec.Decode && !e.leaves(t) && !a.excludes(e.spec.Name)
 	})
 }
 
@@ -124,7 +124,7 @@
 	var out []Decision
 	for i := 0; i < len(g.waiting); {
 		w := g.waiting[i]
-		if g.canDecode(w.ask.Avoid) {
+		if g.canDecode(t, w.ask) {
 			i++
 			continue
 		}
--- a/state/schedule/stage.go
+++ b/state/schedule/stage.go
@@ -45,7 +45,7 @@
 	out := make([]stages.Engine, 0, len(g.engines))
 	for i := range g.engines {
 		e := &g.engines[i]
-		if e.spec.Leaving {
+		if e.leaves(t) {
 			// The others have to do without it.
 			continue
 		}
@@ -59,10 +59,10 @@
 		})
 	}
 	load := g.work.Load(time.Duration(t))
-	load.Fill = g.decodeFill()
+	load.Fill = g.decodeFill(t)
 	if g.usual.prompt > 0 {
 		load.Prompt = time.Duration(g.usual.prompt * g.usualTokenNS())
-		load.Answer = g.answerTime()
+		load.Answer = g.answerTime(t)
 	}
 	return out, load
 }
@@ -92,12 +92,12 @@
 // answerTime is for how long one usual answer takes an engine whose memory is full of
 // such: its whole time, shared by as many as there is room for; 0 while none has been
 // observed to answer.
-func (g *Group) answerTime() time.Duration {
+func (g *Group) answerTime(t int64) time.Duration {
 	length := g.usualLength()
 	sum, engines := 0.0, 0
 	for i := range g.engines {
 		e, v := &g.engines[i], &g.view.Engines[i]
-		if !e.spec.Decode || e.spec.Leaving || e.step.Seen() == 0 {
+		if !e.spec.Decode || e.leaves(t) || e.step.Seen() == 0 {
 			continue
 		}
 		// Answers grow evenly: on the way one takes half of its length on average.
@@ -114,10 +114,10 @@
 
 // decodeFill is the part of the memory that is promised, over the decode engines that
 // stay.
-func (g *Group) decodeFill() float64 {
+func (g *Group) decodeFill(t int64) float64 {
 	free, all := 0, 0
 	for i := range g.engines {
-		if g.engines[i].spec.Decode && !g.engines[i].spec.Leaving {
+		if g.engines[i].spec.Decode && !g.engines[i].leaves(t) {
 			free += g.view.Engines[i].KVFree
 			all += g.view.Engines[i].KVTokens
 		}
--- a/state/schedule/types.go
+++ b/state/schedule/types.go
@@ -8,6 +8,7 @@
 package schedule
 
 import (
+	"slices"
 	"time"
 
 	"runridge.example/runridge/state/health"
@@ -149,6 +150,9 @@
 	Resume bool
 	// Avoid names engines that just failed this request.
 	Avoid []string
+	// Barred names engines that the asking box may not send to for now, whatever the
+	// request; Leaving are those of them that told it that they leave.
+	Barred, Leaving []string
 	// Kept is the engine that still keeps the request's prefill result.
 	Kept string
 	// Patience is the longest wait that the caller accepts if it is refused
@@ -171,6 +175,11 @@
 	Limits []EngineLimit
 }
 
+// excludes says whether an engine must not be chosen for the ask.
+func (a Ask) excludes(engine string) bool {
+	return slices.Contains(a.Avoid, engine) || slices.Contains(a.Barred, engine)
+}
+
 // EngineLimit is what is known of the limit of an engine.
 type EngineLimit struct {
 	Engine string
--- a/state/table/group.go
+++ b/state/table/group.go
@@ -48,6 +48,11 @@
 	Members []Member
 }
 
+// Has says whether an endpoint is in the group.
+func (g *Group) Has(endpoint string) bool {
+	return slices.ContainsFunc(g.Members, func(m Member) bool { return m.Endpoint.Name == endpoint })
+}
+
 // Member is an endpoint in a group with what the rows say of it.
 type Member struct {
 	Endpoint Endpoint
--- a/transport/upstream/orders.go
+++ b/transport/upstream/orders.go
@@ -69,7 +69,7 @@
 		header = append(header, relay.Field{Name: "Content-Type", Value: "application/json"})
 	}
 	return c.Send(ctx, relay.Call{
-		Endpoint: relay.Endpoint{Service: e.Service, ID: e.ID, Address: e.Address},
+		Endpoint: relay.Endpoint{Service: e.Service, ID: e.ID, Address: e.Address, Born: e.Born},
 		Method:   method,
 		Target:   path,
 		Host:     e.Address,
