An endpoint that wants rest gets none of the box's requests until it is over

What callers saw: one to four refusals a second for four seconds, after tries that the endpoint had said it would turn away.

Cause: of a 503 a box kept that the endpoint had turned this one request away, and its home that it was full for a moment. The time in Retry-After was passed over, so the next request went there again.

A box keeps the time beside the leaving, from when the answer came, the longest that was asked for; the paths that stop at an endpoint that leaves stop at it too. It binds this box alone: others were not asked. Callers for whom only endpoints at rest are left are refused at once and told when the first of them is ready.

--- a/coordination/dispatch/ask.go
+++ b/coordination/dispatch/ask.go
@@ -188,6 +188,9 @@
 		return
 	}
 	v.askTimer.Stop()
+	if rest := v.d.cfg.Homes.RestOf(v.group); rest > 0 && r.event.Reason == lifecycle.ReasonNoEngine {
+		r.event.RetryAfterMS = int(max(rest.Milliseconds(), 1))
+	}
 	v.step(r.event)
 }
 
--- a/coordination/dispatch/dispatcher.go
+++ b/coordination/dispatch/dispatcher.go
@@ -30,6 +30,9 @@
 type Homes interface {
 	// PlacesOf lists the groups of a service.
 	PlacesOf(service string) []group.Place
+	// RestOf is after how long this box may send to the first endpoint of a group that
+	// rests; 0 is that none does.
+	RestOf(group string) time.Duration
 	// HomesOf names the boxes to ask for a group, its home first.
 	HomesOf(group string) []string
 	Tell(box, group string, body home.Body) ring.Outcome
--- a/coordination/dispatch/paced.go
+++ b/coordination/dispatch/paced.go
@@ -14,10 +14,11 @@
 const (
 	reasonNotCounted = "endpoint_not_counted"
 	reasonLeaving    = "endpoint_leaving"
+	reasonResting    = "endpoint_resting"
 )
 
-// withholdPrefill says why an engine may not be ordered the prefill now: it leaves, or it
-// names a limit and no home has counted the attempt for it. Empty is that it may.
+// withholdPrefill says why an engine may not be ordered the prefill now: it leaves, it
+// wants rest, or it names a limit and no home has counted the attempt for it. Empty is that it may.
 func (v *driver) withholdPrefill(engine string) string {
 	if reason := v.closed(engine); reason != "" {
 		return reason
@@ -46,10 +47,14 @@
 
 // closed says why an engine gets nothing by what it told this box; empty is that it may.
 func (v *driver) closed(engine string) string {
-	if v.d.cfg.Notices.Standing(engine).Leaving {
+	switch s := v.d.cfg.Notices.Standing(engine); {
+	case s.Leaving:
 		return reasonLeaving
+	case s.Rest > 0:
+		return reasonResting
+	default:
+		return ""
 	}
-	return ""
 }
 
 func (v *driver) decodeCounted(engine string) bool {
--- a/coordination/home/router.go
+++ b/coordination/home/router.go
@@ -306,6 +306,16 @@
 	return barred, leaving
 }
 
+// RestOf is after how long this box may send to the first endpoint of a group that rests; 0
+// is that none does.
+func (r *Router) RestOf(key string) time.Duration {
+	g, ok := r.group(key)
+	if !ok {
+		return 0
+	}
+	return r.notices.LeastRest(g.Has)
+}
+
 // group finds a group by its key.
 func (r *Router) group(key string) (*table.Group, bool) {
 	groups := r.groups.Load()
--- a/coordination/notice/notice.go
+++ b/coordination/notice/notice.go
@@ -79,7 +79,7 @@
 }
 
 // Open says whether the box may send.
-func (s Standing) Open() bool { return !s.Leaving }
+func (s Standing) Open() bool { return !s.Leaving && s.Rest <= 0 }
 
 // Closed is an endpoint that this box may not send to.
 type Closed struct {
@@ -297,6 +297,18 @@
 	return out
 }
 
+// LeastRest is after how long the first of some endpoints that rest may be sent to again; 0
+// is that none rests.
+func (k *Keeper) LeastRest(of func(endpoint string) bool) time.Duration {
+	least := time.Duration(0)
+	for _, c := range k.Closed() {
+		if !c.Leaving && (least == 0 || c.Rest < least) && of(c.Endpoint) {
+			least = c.Rest
+		}
+	}
+	return least
+}
+
 // open forgets why an endpoint was closed. The mutex is held.
 func (k *Keeper) open(endpoint string) {
 	delete(k.closed, endpoint)
--- a/coordination/notice/notice_test.go
+++ b/coordination/notice/notice_test.go
@@ -91,7 +91,7 @@
 }
 
 func TestEndpointsAreClosed(t *testing.T) {
-	leaving := pace.Notice{Leaving: true}
+	leaving, resting := pace.Notice{Leaving: true}, pace.Notice{Rest: 3 * time.Second}
 	cases := map[string]struct {
 		steps []step
 		// after is the time since the last step, and born the start that is known by then.
@@ -105,6 +105,13 @@
 		"left, and started again":        {steps: []step{{notice: leaving, born: 1}}, born: 2},
 		"may have started again":         {steps: []step{{notice: leaving, restarts: true}}, after: restartTime},
 		"has hardly started again":       {steps: []step{{notice: leaving, restarts: true}}, after: restartTime - 1, want: Standing{Leaving: true}},
+		"rests":                          {steps: []step{{notice: resting}}, after: time.Second, want: Standing{Rest: 2 * time.Second}},
+		"has rested":                     {steps: []step{{notice: resting}}, after: 3 * time.Second},
+		"rests, a later answer is bare":  {steps: []step{{notice: resting}, {after: time.Second}}, want: Standing{Rest: 2 * time.Second}},
+		"asks for less while it rests":   {steps: []step{{notice: resting}, {notice: pace.Notice{Rest: time.Second}}}, want: Standing{Rest: 3 * time.Second}},
+		"rests, and started again":       {steps: []step{{notice: resting, born: 1}}, born: 2},
+		"rests, then leaves":             {steps: []step{{notice: resting}, {notice: leaving}}, want: Standing{Leaving: true, Rest: 3 * time.Second}},
+		"wants more than anybody can":    {steps: []step{{notice: pace.Notice{Rest: 1 << 62}}}, want: Standing{Rest: maxRest}},
 		"a limit beside":                 {steps: []step{{notice: pace.Notice{Leaving: true, Limit: three}}}, want: Standing{Leaving: true}},
 	}
 	for name, c := range cases {
--- a/coordination/relay/paced_test.go
+++ b/coordination/relay/paced_test.go
@@ -139,9 +139,26 @@
 	}
 }
 
-// TestAloneBeyondALimitIsRefusedAtOnce has no home speak while the only endpoint names a limit:
-// the caller was held for as long as its request was asked for, eight times.
-func TestAloneBeyondALimitIsRefusedAtOnce(t *testing.T) {
+// TestNowhereToGoIsRefusedAtOnce has no home speak while the only endpoint may get nothing by
+// its own word: the caller was held for as long as its request was asked for, eight times.
+func TestNowhereToGoIsRefusedAtOnce(t *testing.T) {
+	cases := map[string]struct {
+		said pace.Notice
+		// retry is what the caller is told, and asked is the number of homes that are asked.
+		retry time.Duration
+		asked time.Duration
+	}{
+		"names a limit": {said: pace.Notice{Limit: pace.LimitOf(1)}, retry: silentHomeRetry, asked: silentHomes},
+		"leaves":        {said: pace.Notice{Leaving: true}, retry: notReadyRetry},
+		"rests":         {said: pace.Notice{Rest: 1500 * time.Millisecond}, retry: 1500 * time.Millisecond},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) { refusedAtOnce(t, c.said, c.retry, c.asked*firstWord) })
+	}
+}
+
+// refusedAtOnce has the only endpoint say something, and a request refused within a time.
+func refusedAtOnce(t *testing.T, said pace.Notice, retry, within time.Duration) {
 	synctest.Test(t, func(t *testing.T) {
 		ends, caller := &counted{}, &told{}
 		d := directory.Directory{}.WithList(time.Now(), 1, []directory.Entry{{ID: "e-n1", Service: "s", Zone: "n1"}})
@@ -149,7 +166,7 @@
 			Zone: "n1", Homes: &granting{places: allOne}, Directory: &known{d}, Endpoints: ends, Log: log.Discard(),
 			Notices: notice.New(notice.Config{Log: log.Discard()}), NextID: func() lifecycle.RequestID { return lifecycle.RequestID{} },
 		})
-		r.cfg.Notices.Answered(notice.Answered{Endpoint: "e-n1", Notice: pace.Notice{Limit: pace.LimitOf(1)}})
+		r.cfg.Notices.Answered(notice.Answered{Endpoint: "e-n1", Notice: said})
 		r.SetTable(table.Table{
 			Generation: 1, Services: []table.Service{{Name: "s", Kind: table.KindRouted}},
 			Routes: []table.Route{{
@@ -159,11 +176,11 @@
 		})
 		arrived := time.Now()
 		r.Serve(t.Context(), Request{ID: "1", Host: "h", Path: "/a/x", Target: "/a/x", Method: http.MethodPost, Arrived: arrived}, caller)
-		if ends.sends > 0 || caller.refusal.Status != http.StatusServiceUnavailable || caller.refusal.RetryAfter != silentHomeRetry {
+		if ends.sends > 0 || caller.refusal.Status != http.StatusServiceUnavailable || caller.refusal.RetryAfter != retry {
 			t.Errorf("sent %d times, told %+v", ends.sends, caller.refusal)
 		}
-		if held := time.Since(arrived); held > silentHomes*firstWord {
-			t.Errorf("held for %v, want no longer than the homes are asked, %v", held, silentHomes*firstWord)
+		if held := time.Since(arrived); held > within {
+			t.Errorf("held for %v, want no longer than %v", held, within)
 		}
 	})
 }
--- a/coordination/relay/refuse.go
+++ b/coordination/relay/refuse.go
@@ -149,10 +149,18 @@
 		// The request's own group has booked the time to come back.
 		v.refuse(http.StatusServiceUnavailable, res.reason, v.retryTime(v.refusals[0].retryAfter))
 	default:
-		v.refuse(http.StatusServiceUnavailable, res.reason, v.retryTime(res.retryAfter))
+		v.refuse(http.StatusServiceUnavailable, res.reason, v.retryTime(v.comeBack(res)))
 	}
 }
 
+// comeBack is after how long the request may be served that had no endpoint to go to.
+func (v *run) comeBack(res result) time.Duration {
+	if rest := v.restLeft(); rest > 0 && (res.noEngine || isWithheld(res.reason)) {
+		return rest
+	}
+	return res.retryAfter
+}
+
 // patienceShare is the part of the time left that a refused caller may be told
 // to wait; callers give up on more.
 const patienceShare = 0.32
--- a/coordination/relay/where.go
+++ b/coordination/relay/where.go
@@ -5,6 +5,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"runridge.example/runridge/coordination/notice"
 	"runridge.example/runridge/state/directory"
@@ -19,11 +20,14 @@
 	reasonDrained   = "zone_drained"
 	reasonForbidden = "region_not_allowed"
 	reasonLeaving   = "endpoint_leaving"
+	reasonResting   = "endpoint_resting"
 )
 
 // isWithheld says whether a request that does not go to an endpoint for a reason is kept from
 // it by this box alone: the endpoint serves others, and has not failed.
-func isWithheld(reason string) bool { return reason == reasonLeaving || reason == reasonNotCounted }
+func isWithheld(reason string) bool {
+	return reason == reasonLeaving || reason == reasonResting || reason == reasonNotCounted
+}
 
 // bind looks up in which regions the request may be served: both its route and its
 // account bind, by the table in force.
@@ -65,10 +69,14 @@
 // closedReason is why an endpoint gets nothing by what it told this box; empty is that it
 // may.
 func closedReason(s notice.Standing) string {
-	if s.Leaving {
+	switch {
+	case s.Leaving:
 		return reasonLeaving
+	case s.Rest > 0:
+		return reasonResting
+	default:
+		return ""
 	}
-	return ""
 }
 
 // endpoint finds an endpoint that may get the request now; without one it says why.
@@ -131,6 +139,16 @@
 	})
 }
 
+// restLeft is after how long the first endpoint that rests may get the request; 0 is that
+// none rests that could serve it.
+func (v *run) restLeft() time.Duration {
+	known := v.r.cfg.Directory.Directory()
+	return v.r.cfg.Notices.LeastRest(func(endpoint string) bool {
+		w, found := known.Status(endpoint)
+		return found && w.Service == v.service.Name && w.Stage != directory.StagePrefill && w.Usable() && v.mayGo(w.Zone)
+	})
+}
+
 // endpointsOf lists the endpoints of a group. Where it is not known in which zone or region
 // they are, they may be any of the service.
 func (v *run) endpointsOf(known directory.Directory, p group.Place) []directory.Status {
--- a/tests/mutants/main.go
+++ b/tests/mutants/main.go
@@ -54,7 +54,7 @@
 
 // all are the deliberate faults.
 func all() []mutant {
-	return slices.Concat(mutants, routedMutants, accountMutants, stageMutants, sharedMutants, coldMutants, poisonMutants, limitMutants)
+	return slices.Concat(mutants, routedMutants, accountMutants, stageMutants, sharedMutants, coldMutants, poisonMutants, limitMutants, noticeMutants)
 }
 
 func run(root string) error {
