Endpoints and drained zones of a store that came back older are taken in

What callers saw: requests reached an endpoint 3.0 s after it had said in the store that it leaves.

Cause: boxes order what they read of the store by its revisions. A watch that asks from a revision that the store has reached anew is not even answered 410, and would miss what lies between.

The client of the store reads the era of each answer and gives positions that have it in front (state/position), so that all comparisons hold as they stand; a watch of another era has lost its history, and a write by a revision of another era is a conflict. Between boxes the era goes in a field of its own, so that builds without it read what they did; what they send is taken for the era that is known.

The copy tells entries and drains as they were. For 5 s after the return an endpoint that has left, leaves or has started again since does so still, whatever a list says, and drained zones stay as they are; single changes are new writes and hold at once. Then the readers read the lists once more. Missing entries have the grace period that they have after an outage.

--- a/box/drain.go
+++ b/box/drain.go
@@ -7,6 +7,7 @@
 	"runridge.example/runridge/coordination/drain"
 	"runridge.example/runridge/protocol/boxwire"
 	zones "runridge.example/runridge/state/drain"
+	"runridge.example/runridge/state/position"
 )
 
 // newDrains makes the duty that follows the drained zones.
@@ -53,7 +54,7 @@
 // SendDrained sends the drained zones to another box.
 func (p peers) SendDrained(to string, u zones.Update) {
 	// One that is lost is noticed by the revision of the next membership message.
-	_ = p.net.Send(to, &boxwire.Drained{Update: u})
+	_ = p.net.Send(to, boxwire.FromDrained(u))
 }
 
 // SendDrainedPull asks another box for them.
@@ -68,7 +69,7 @@
 	}
 	switch m := m.(type) {
 	case *boxwire.Drained:
-		b.routed.drains.Receive(from, m.Update)
+		b.routed.drains.Receive(from, m.Open(b.routed.drains.Zones().At()))
 	case *boxwire.DrainedPull:
 		b.routed.drains.Pull(from)
 	default:
@@ -77,9 +78,11 @@
 	return true
 }
 
-// hearDrained takes in the version that another box names.
-func (b *Box) hearDrained(from string, v zones.Version) {
-	if b.routed != nil {
-		b.routed.drains.Heard(from, v)
+// hearDrained takes in the version that another box names, with its era.
+func (b *Box) hearDrained(from string, v zones.Version, era uint64) {
+	if b.routed == nil {
+		return
 	}
+	v.Revision = position.In(position.Of(era, v.Revision), b.routed.drains.Zones().At())
+	b.routed.drains.Heard(from, v)
 }
--- a/box/wire.go
+++ b/box/wire.go
@@ -17,6 +17,7 @@
 	zones "runridge.example/runridge/state/drain"
 	"runridge.example/runridge/state/lifecycle"
 	"runridge.example/runridge/state/member"
+	"runridge.example/runridge/state/position"
 	"runridge.example/runridge/state/schedule"
 	"runridge.example/runridge/state/table"
 	"runridge.example/runridge/transport/boxnet"
@@ -52,8 +53,11 @@
 // SendMember sends a membership message with the table's generation, the version
 // of the drained zones and the digest of the suspected requests.
 func (p peers) SendMember(box string, m member.Message) ring.Outcome {
+	drained := p.drained()
+	era := position.Era(drained.Revision)
+	drained.Revision = position.Revision(drained.Revision)
 	out := &boxwire.Member{
-		Message: m, Generation: p.generation(), AgeMS: ageMS(p.age()), Drained: p.drained(),
+		Message: m, Generation: p.generation(), AgeMS: ageMS(p.age()), Drained: drained, DrainedEra: era,
 		Suspects: p.suspects(),
 	}
 	packed, err := out.Pack()
@@ -121,7 +125,7 @@
 
 // SendUpdatePull asks another box for the changes of endpoints after a position.
 func (p peers) SendUpdatePull(to string, have uint64) {
-	_ = p.net.Send(to, &boxwire.UpdatePull{Have: have})
+	_ = p.net.Send(to, boxwire.NewUpdatePull(have))
 }
 
 // receiveChange reads a change of the table.
@@ -183,7 +187,7 @@
 		b.receiveMember(from, m)
 		b.follower.Heard(from, m.Generation)
 		b.follower.Confirmed(m.Generation, ageOf(m.AgeMS))
-		b.hearDrained(from, m.Drained)
+		b.hearDrained(from, m.Drained, m.DrainedEra)
 		b.quarantine.Heard(from, m.Suspects)
 	case *boxwire.QuotaAsk:
 		if b.routed != nil {
@@ -202,7 +206,7 @@
 		b.receiveUpdate(from, m)
 	case *boxwire.UpdatePull:
 		if b.routed != nil {
-			b.routed.discoverer.Pull(from, m.Have)
+			b.routed.discoverer.Pull(from, m.Position())
 		}
 	default:
 		b.receiveCommand(sender, names, m)
--- a/coordination/discover/discover.go
+++ b/coordination/discover/discover.go
@@ -167,6 +167,9 @@
 	for ctx.Err() == nil {
 		// Without a list the box cannot serve.
 		decided := d.decide(time.Now())
+		if decided.Read && d.rereads(time.Now()) {
+			whole, d.fresh = true, true
+		}
 		if !decided.Read && !whole {
 			sleep.For(ctx, min(decided.Wait, longestLook))
 			continue
@@ -235,12 +238,17 @@
 	ctx, cancel := context.WithTimeout(ctx, bound)
 	defer cancel()
 	if whole {
-		first := !d.Directory().Known()
+		begun, fresh := d.Directory(), d.fresh
+		first := !begun.Known()
 		list, at, err := d.readList(ctx)
 		if err != nil {
 			return err
 		}
+		if fresh {
+			d.correct(begun.At(), at)
+		}
 		d.noteHeard(time.Now())
+		d.noteReturn(time.Now(), at)
 		d.update(func(known directory.Directory) directory.Directory {
 			d.remember(directory.Update{At: at, Whole: true})
 			return known.WithList(time.Now(), at, list)
--- a/coordination/discover/share.go
+++ b/coordination/discover/share.go
@@ -11,6 +11,7 @@
 	"runridge.example/runridge/modules/log"
 	"runridge.example/runridge/state/cover"
 	"runridge.example/runridge/state/directory"
+	"runridge.example/runridge/state/position"
 	"runridge.example/runridge/state/spread"
 )
 
@@ -194,6 +195,8 @@
 // is the answer to this box's own question, and goes no further.
 func (d *Discoverer) Receive(from string, n directory.Update) {
 	now := time.Now()
+	at := d.Directory().At()
+	n.After, n.At = position.In(n.After, at), position.In(n.At, at)
 	answer := n.Origin == ""
 	if !answer && !d.unseen(now, n) {
 		return
@@ -261,6 +264,7 @@
 	if covers {
 		d.noteHeard(now)
 	}
+	d.noteReturn(now, n.At)
 	d.update(func(known directory.Directory) directory.Directory {
 		if n.At > known.At() {
 			d.remember(n)
--- a/coordination/drain/drain.go
+++ b/coordination/drain/drain.go
@@ -20,6 +20,7 @@
 	"runridge.example/runridge/modules/ring"
 	"runridge.example/runridge/modules/sleep"
 	"runridge.example/runridge/state/drain"
+	"runridge.example/runridge/state/position"
 )
 
 // Source is the platform's list of drained zones.
@@ -95,6 +96,8 @@
 	// since is when each drained zone came into force here.
 	since  map[string]time.Time
 	pulled time.Time
+	// heldUntil is until when the zones that are known hold over the platform's list.
+	heldUntil time.Time
 	// heard is when another box was first heard; zero is never.
 	heard time.Time
 	// passed is the position of the last update of each origin that was passed on.
@@ -152,6 +155,7 @@
 			sleep.For(ctx, look)
 			continue
 		}
+		whole = k.rereads(time.Now()) || whole
 		err := k.once(ctx, whole)
 		switch {
 		case err == nil:
@@ -216,11 +220,48 @@
 	if err != nil {
 		return err
 	}
-	k.update("platform", func(z drain.Zones) drain.Zones { return z.WithList(at, list) })
+	held := k.noteReturn(time.Now(), at)
+	k.update("platform", func(z drain.Zones) drain.Zones {
+		if held {
+			return z.AtReturn(at)
+		}
+		return z.WithList(at, list)
+	})
 	k.publish(k.cfg.Reads())
 	return nil
 }
 
+// heldFor is for how long the zones that are known hold over the list of a platform that
+// came back older: the operator writes again what it has lost. Changes hold at once.
+const heldFor = 5 * time.Second
+
+// noteReturn takes in that the platform has come back older, if a position tells so, before
+// what it said is taken in. It says whether the zones known here hold over its list.
+func (k *Keeper) noteReturn(now time.Time, at uint64) bool {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	before := k.zones.At()
+	if k.zones.Known() && position.Era(at) > position.Era(before) {
+		k.heldUntil = now.Add(heldFor)
+		k.cfg.Log.WithFields(log.Fields{
+			"era": position.Era(at), "position": at, "era_before": position.Era(before), "position_before": before,
+		}).Warn("drained_zones_came_back_older")
+	}
+	return now.Before(k.heldUntil)
+}
+
+// rereads says whether the list is due once more since the zones that were known no longer
+// hold over it.
+func (k *Keeper) rereads(now time.Time) bool {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	due := !k.heldUntil.IsZero() && !now.Before(k.heldUntil)
+	if due {
+		k.heldUntil = time.Time{}
+	}
+	return due
+}
+
 // update puts what was learnt into force, and says whether the drained zones are
 // others now.
 func (k *Keeper) update(from string, change func(drain.Zones) drain.Zones) bool {
--- a/coordination/drain/share.go
+++ b/coordination/drain/share.go
@@ -48,6 +48,7 @@
 	if known := k.Zones(); known.Corrects(u) {
 		k.cfg.Peers.SendDrained(from, known.Update(""))
 	}
+	k.noteReturn(time.Now(), u.At)
 	k.update(from, func(z drain.Zones) drain.Zones { return z.WithUpdate(u) })
 	if u.Origin != "" && k.unseen(u) {
 		k.pass(u)
--- a/protocol/boxwire/boxwire.go
+++ b/protocol/boxwire/boxwire.go
@@ -21,6 +21,7 @@
 	"runridge.example/runridge/state/directory"
 	"runridge.example/runridge/state/drain"
 	"runridge.example/runridge/state/member"
+	"runridge.example/runridge/state/position"
 )
 
 // Kind tells the messages apart on the wire.
@@ -119,6 +120,8 @@
 	Suspects   uint64
 	// Packed are the message's updates, compressed, where there are many.
 	Packed []byte
+	// DrainedEra is the era of Drained's revision; 0 is not told.
+	DrainedEra uint64
 }
 
 // Change carries a change of the table, as compressed JSON: it is read by people in
@@ -138,13 +141,25 @@
 	Update     directory.Update
 	Generation uint64
 	Packed     []byte
+	// Era is that of the update's positions, which are the store's own revisions here; 0
+	// is not told.
+	Era uint64
 }
 
 // UpdatePull asks for the changes of endpoints after a position; 0 asks for all.
 type UpdatePull struct {
-	Have uint64
+	// Have is the store's own revision at the position, of an era; 0 is not told.
+	Have, Era uint64
+}
+
+// NewUpdatePull asks for the changes after a position.
+func NewUpdatePull(have uint64) *UpdatePull {
+	return &UpdatePull{Have: position.Revision(have), Era: position.Era(have)}
 }
 
+// Position is the position after which changes are asked for.
+func (m *UpdatePull) Position() uint64 { return position.Of(m.Era, m.Have) }
+
 // Kind is KindUpdate.
 func (*Update) Kind() Kind { return KindUpdate }
 
--- a/protocol/boxwire/drain.go
+++ b/protocol/boxwire/drain.go
@@ -3,11 +3,48 @@
 
 package boxwire
 
-import "runridge.example/runridge/state/drain"
+import (
+	"slices"
+
+	"runridge.example/runridge/state/drain"
+	"runridge.example/runridge/state/position"
+)
 
 // Drained are the drained availability zones as a box knows them.
 type Drained struct {
+	// Update has the store's own revisions in place of positions.
 	Update drain.Update
+	// Era is that of the revisions; 0 is not told.
+	Era uint64
+}
+
+// FromDrained converts drained zones to their message.
+func FromDrained(u drain.Update) *Drained {
+	era := position.Era(u.At)
+	u.At, u.Revision = position.Revision(u.At), position.Revision(u.Revision)
+	u.Drained = slices.Clone(u.Drained)
+	for i := range u.Drained {
+		u.Drained[i].Revision = position.Revision(u.Drained[i].Revision)
+	}
+	return &Drained{Update: u, Era: era}
+}
+
+// Open gives the drained zones that the message tells. What tells no era is of that of a
+// position.
+func (m *Drained) Open(as uint64) drain.Update {
+	u, era := m.Update, m.Era
+	if u.At == 0 {
+		return u
+	}
+	if era == 0 {
+		era = position.Era(as)
+	}
+	u.At, u.Revision = position.Of(era, u.At), position.Of(era, u.Revision)
+	u.Drained = slices.Clone(u.Drained)
+	for i := range u.Drained {
+		u.Drained[i].Revision = position.Of(era, u.Drained[i].Revision)
+	}
+	return u
 }
 
 // DrainedPull asks for them.
--- a/protocol/boxwire/update.go
+++ b/protocol/boxwire/update.go
@@ -7,6 +7,7 @@
 	"fmt"
 
 	"runridge.example/runridge/state/directory"
+	"runridge.example/runridge/state/position"
 )
 
 const (
@@ -20,18 +21,27 @@
 // FromUpdate converts an update to its message: packed where there are many changes, which
 // takes a fifth of the bytes.
 func FromUpdate(n directory.Update, generation uint64) (*Update, error) {
+	era := position.Era(n.At)
+	n.After, n.At = position.Revision(n.After), position.Revision(n.At)
 	if len(n.Changes) < leastPacked {
-		return &Update{Update: n, Generation: generation}, nil
+		return &Update{Update: n, Generation: generation, Era: era}, nil
 	}
 	data, err := pack(n)
 	if err != nil {
 		return nil, fmt.Errorf("encode changes of endpoints: %w", err)
 	}
-	return &Update{Generation: generation, Packed: data}, nil
+	return &Update{Generation: generation, Packed: data, Era: era}, nil
 }
 
 // Open gives the update that the message tells.
 func (m *Update) Open() (directory.Update, error) {
+	n, err := m.plain()
+	n.After, n.At = position.Of(m.Era, n.After), position.Of(m.Era, n.At)
+	return n, err
+}
+
+// plain gives the update as it was sent, with the store's own revisions.
+func (m *Update) plain() (directory.Update, error) {
 	var n directory.Update
 	if len(m.Packed) == 0 {
 		return m.Update, nil
@@ -45,6 +55,6 @@
 // unpacked is the message for builds that read packed changes only if theirs have as many
 // fields.
 func (m *Update) unpacked() (Message, error) {
-	n, err := m.Open()
-	return &Update{Update: n, Generation: m.Generation}, err
+	n, err := m.plain()
+	return &Update{Update: n, Generation: m.Generation, Era: m.Era}, err
 }
--- a/state/directory/directory.go
+++ b/state/directory/directory.go
@@ -81,6 +81,8 @@
 	recent []touched
 	// graceUntil is until when an entry that is missing may only have lapsed.
 	graceUntil time.Time
+	// heldUntil is until when whole lists are those of a store that came back older.
+	heldUntil time.Time
 	// drained are the drained availability zones. The map is never written to.
 	drained map[string]bool
 }
@@ -210,7 +212,9 @@
 	var changes []Change
 	for _, e := range list {
 		listed[e.ID] = true
-		changes = append(changes, Change{Entry: e})
+		if e, holds := d.against(now, e); holds {
+			changes = append(changes, Change{Entry: e})
+		}
 	}
 	d.each(func(w *Status) {
 		if !listed[w.ID] && !w.Gone && !w.InGrace {
--- a/state/drain/drain.go
+++ b/state/drain/drain.go
@@ -12,6 +12,8 @@
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
+
+	"runridge.example/runridge/state/position"
 )
 
 // Zone is one drained availability zone.
@@ -37,9 +39,9 @@
 	drained  []Zone
 }
 
-// firstRevision is that of a list on which no zone was ever drained: 0 says that
-// nothing is known.
-const firstRevision = 1
+// firstRevision is that of a list on which no zone was ever drained, as of a position: 0
+// says that nothing is known.
+func firstRevision(at uint64) uint64 { return position.Of(position.Era(at), 1) }
 
 // Update is the drained zones on their way from one box to another.
 type Update struct {
@@ -73,7 +75,7 @@
 	hash := xxhash.New()
 	for _, zone := range z.drained {
 		// A hash takes all that it is given.
-		_, _ = fmt.Fprintf(hash, "%q %d ", zone.Name, zone.Revision)
+		_, _ = fmt.Fprintf(hash, "%q %d ", zone.Name, position.Revision(zone.Revision))
 	}
 	return Version{Revision: z.revision, Digest: hash.Sum64()}
 }
@@ -119,7 +121,7 @@
 		return z
 	}
 	list = sorted(list)
-	next := Zones{at: at, revision: max(z.revision, firstRevision), drained: list}
+	next := Zones{at: at, revision: max(z.revision, firstRevision(at)), drained: list}
 	switch {
 	case slices.Equal(list, z.drained):
 	case z.Known():
@@ -132,6 +134,19 @@
 	return next
 }
 
+// AtReturn returns the zones as of a position of a platform that came back from an older
+// copy, where what was known goes on.
+func (z Zones) AtReturn(at uint64) Zones {
+	if at < z.at {
+		return z
+	}
+	next := Zones{at: at, revision: max(z.revision, firstRevision(at)), drained: slices.Clone(z.drained)}
+	for i, zone := range next.drained {
+		next.drained[i].Revision = position.Of(position.Era(at), position.Revision(zone.Revision))
+	}
+	return next
+}
+
 // WithChanges returns the zones after changes up to a revision, in their order.
 // Changes older than the zones change nothing.
 func (z Zones) WithChanges(at uint64, changes []Change) Zones {
--- a/state/drain/drain_test.go
+++ b/state/drain/drain_test.go
@@ -11,6 +11,7 @@
 
 	"pgregory.net/rapid"
 
+	"runridge.example/runridge/state/position"
 	"runridge.example/runridge/tests/seed"
 )
 
@@ -39,6 +40,8 @@
 		"an older list is none":                   {known.WithList(49, nil), 1, 50, 40},
 		"a drain that is not on the list":         {known.WithList(60, nil), 0, 60, 60},
 		"a drain that ended":                      {known.WithChanges(55, []Change{{Zone: one[0], Ended: true}}), 0, 55, 55},
+		"an older copy is not followed":           {Zones{}.WithList(position.Of(1, 50), one).AtReturn(position.Of(2, 20)), 1, position.Of(2, 20), position.Of(2, 1)},
+		"a change after an older copy":            {Zones{}.WithList(position.Of(1, 50), one).AtReturn(position.Of(2, 20)).WithChanges(position.Of(2, 21), []Change{{Zone: one[0], Ended: true}}), 0, position.Of(2, 21), position.Of(2, 21)},
 		"an older change is none":                 {known.WithChanges(49, []Change{{Zone: one[0], Ended: true}}), 1, 50, 40},
 		"ended and written again": {
 			known.WithChanges(57, []Change{{Zone: one[0], Ended: true}, {Zone: Zone{Name: "a", Revision: 57}}}), 1, 57, 57,
