A configuration that is written after the store came back older is put into force

What callers saw: routes were served as they had been eight seconds after a change was acknowledged, at all boxes.

Cause: a table's generation is the revision of the store's write, and boxes take only a higher one. After the store had come back from a copy, versions 20, 24 and 27 got revisions below the 28 that boxes had, and were dropped as older.

Two tables are ordered by the operator's own numbers where both have one, by generations otherwise (table.Stamp): between store and box, between boxes, for homes and for what a box calls current. So the copy's older configuration, under whatever revision, is not followed, and a box that starts on it takes the newer one from the others. The number goes beside the generation in messages, which stays what it was for builds without it. An older table that is offered is logged (table_older).

--- a/box/assemble.go
+++ b/box/assemble.go
@@ -24,6 +24,7 @@
 	records "runridge.example/runridge/state/dedup"
 	"runridge.example/runridge/state/member"
 	"runridge.example/runridge/state/rank"
+	"runridge.example/runridge/state/table"
 	"runridge.example/runridge/transport/boxnet"
 	"runridge.example/runridge/transport/callerhttp"
 )
@@ -58,11 +59,11 @@
 		Log:         o.Log,
 	})
 	others := peers{
-		net:        b.net,
-		generation: func() uint64 { return b.follower.Table().Generation },
-		age:        func() time.Duration { return b.follower.Age() },
-		drained:    b.drainedVersion,
-		suspects:   func() uint64 { return b.quarantine.Digest() },
+		net:      b.net,
+		table:    func() table.Stamp { return b.follower.Table().Stamp() },
+		age:      func() time.Duration { return b.follower.Age() },
+		drained:  b.drainedVersion,
+		suspects: func() uint64 { return b.quarantine.Digest() },
 	}
 	b.others = others
 	b.router = home.NewRouter(s.Name, others)
--- a/box/box.go
+++ b/box/box.go
@@ -252,8 +252,8 @@
 // Offer takes a table as another box would hand it over.
 func (b *Box) Offer(t table.Table) { b.follower.Offer(t) }
 
-// Heard takes in the generation that another box has in force, as its messages do.
-func (b *Box) Heard(from string, generation uint64) { b.follower.Heard(from, generation) }
+// Heard takes in which table another box has in force, as its messages do.
+func (b *Box) Heard(from string, own table.Stamp) { b.follower.Heard(from, own) }
 
 // Active is the number of requests under way, with those whose callers have not read all of
 // the answer yet.
--- a/box/wire.go
+++ b/box/wire.go
@@ -25,8 +25,8 @@
 
 // peers turns commands and decisions into messages to other boxes.
 type peers struct {
-	net        *boxnet.Net
-	generation func() uint64
+	net   *boxnet.Net
+	table func() table.Stamp
 	// age is how long ago the platform confirmed the table in force.
 	age func() time.Duration
 	// drained is the version of the drained zones, and suspects the digest of the
@@ -53,11 +53,11 @@
 // SendMember sends a membership message with the table's generation, the version
 // of the drained zones and the digest of the suspected requests.
 func (p peers) SendMember(box string, m member.Message) ring.Outcome {
-	drained := p.drained()
+	drained, own := p.drained(), p.table()
 	era := position.Era(drained.Revision)
 	drained.Revision = position.Revision(drained.Revision)
 	out := &boxwire.Member{
-		Message: m, Generation: p.generation(), AgeMS: ageMS(p.age()), Drained: drained, DrainedEra: era,
+		Message: m, Generation: own.Generation, Version: own.Version, AgeMS: ageMS(p.age()), Drained: drained, DrainedEra: era,
 		Suspects: p.suspects(),
 	}
 	packed, err := out.Pack()
@@ -106,14 +106,14 @@
 	}
 }
 
-// SendPull asks another box for what came after a generation.
-func (p peers) SendPull(to string, have uint64) {
-	_ = p.net.Send(to, &boxwire.Pull{Have: have})
+// SendPull asks another box for what came after a table.
+func (p peers) SendPull(to string, have table.Stamp) {
+	_ = p.net.Send(to, &boxwire.Pull{Have: have.Generation, Version: have.Version})
 }
 
 // SendUpdate tells other boxes what has changed among the endpoints.
 func (p peers) SendUpdate(n directory.Update, to ...string) {
-	m, err := boxwire.FromUpdate(n, p.generation())
+	m, err := boxwire.FromUpdate(n, p.table())
 	if err != nil {
 		panic(err)
 	}
@@ -185,8 +185,8 @@
 		b.decisions.Check(from, group, engine, m.Attempts(self))
 	case *boxwire.Member:
 		b.receiveMember(from, m)
-		b.follower.Heard(from, m.Generation)
-		b.follower.Confirmed(m.Generation, ageOf(m.AgeMS))
+		b.follower.Heard(from, m.Table())
+		b.follower.Confirmed(m.Table(), ageOf(m.AgeMS))
 		b.hearDrained(from, m.Drained, m.DrainedEra)
 		b.quarantine.Heard(from, m.Suspects)
 	case *boxwire.QuotaAsk:
@@ -200,9 +200,9 @@
 	case *boxwire.Change:
 		b.receiveChange(from, m)
 	case *boxwire.Pull:
-		b.follower.Pull(from, m.Have)
+		b.follower.Pull(from, m.Table())
 	case *boxwire.Update:
-		b.follower.Heard(from, m.Generation)
+		b.follower.Heard(from, m.Table())
 		b.receiveUpdate(from, m)
 	case *boxwire.UpdatePull:
 		if b.routed != nil {
--- a/coordination/follow/confirm.go
+++ b/coordination/follow/confirm.go
@@ -6,6 +6,8 @@
 import (
 	"math"
 	"time"
+
+	"runridge.example/runridge/state/table"
 )
 
 const (
@@ -29,13 +31,13 @@
 	}
 }
 
-// Confirmed takes in how long ago, by another box's word, no newer table than that
-// of a generation existed. It holds for this box's table too if that is as new.
-func (f *Follower) Confirmed(generation uint64, age time.Duration) {
+// Confirmed takes in how long ago, by another box's word, no newer table than one with a
+// stamp existed. It holds for this box's table too if that is as new.
+func (f *Follower) Confirmed(stamp table.Stamp, age time.Duration) {
 	if age == NeverConfirmed {
 		return
 	}
-	if f.Table().Generation >= generation {
+	if !stamp.After(f.Table().Stamp()) {
 		f.confirm(time.Now().Add(-age))
 	}
 }
@@ -57,5 +59,5 @@
 	age := f.Age()
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	return f.others <= f.table.Generation && age <= currentFor
+	return !f.others.After(f.table.Stamp()) && age <= currentFor
 }
--- a/coordination/follow/follow.go
+++ b/coordination/follow/follow.go
@@ -2,7 +2,7 @@
 // SPDX-License-Identifier: MIT
 
 // Package follow keeps a box on the newest accepted table. It never goes back
-// to an older generation, whatever the platform or another box says.
+// to an older table, whatever the platform or another box says.
 //
 // Only the first few boxes in rank watch the platform; they pass each change
 // on along a tree of boxes, and a box that missed it notices from the
@@ -35,8 +35,8 @@
 type Peers interface {
 	// SendChange sends a change to some boxes.
 	SendChange(d table.Delta, to ...string)
-	// SendPull asks a box for what came after a generation.
-	SendPull(to string, have uint64)
+	// SendPull asks a box for what came after a table.
+	SendPull(to string, have table.Stamp)
 }
 
 // Config configures a Follower.
@@ -99,8 +99,8 @@
 	// pending is the newest table offered before the gate opened.
 	pending table.Table
 	open    bool
-	// others is the highest generation that another box has named.
-	others uint64
+	// others is the newest table that another box has named.
+	others table.Stamp
 	// behind is since when this box has known of a newer table than its own.
 	behind   time.Time
 	pulled   time.Time
@@ -171,11 +171,11 @@
 }
 
 // Offer takes a table from the platform or from another box and puts it into
-// force if its generation is newer. Until the gate is open it only keeps it.
+// force if it is newer. Until the gate is open it only keeps it.
 func (f *Follower) Offer(t table.Table) {
 	f.mutex.Lock()
 	if !f.open {
-		if t.Generation > f.pending.Generation {
+		if t.Stamp().After(f.pending.Stamp()) {
 			f.pending = t
 		}
 		f.mutex.Unlock()
@@ -189,10 +189,23 @@
 	}
 }
 
+// noteOlder writes that a table was offered which is older than the one in force. The mutex
+// is held.
+func (f *Follower) noteOlder(t table.Table) {
+	if t.Stamp() == f.table.Stamp() {
+		return
+	}
+	f.cfg.Log.WithFields(log.Fields{
+		log.FieldGeneration: f.table.Generation, "version": f.table.Version,
+		"offered_generation": t.Generation, "offered_version": t.Version,
+	}).Info("table_older")
+}
+
 // enforce puts a newer table into force and returns the change. The mutex is
 // held.
 func (f *Follower) enforce(t table.Table) (table.Delta, bool) {
-	if t.Generation <= f.table.Generation {
+	if !t.Stamp().After(f.table.Stamp()) {
+		f.noteOlder(t)
 		return table.Delta{}, false
 	}
 	change := table.WholeDelta(t)
@@ -203,7 +216,7 @@
 	}
 	f.table = t
 	f.since = time.Now()
-	f.cfg.Log.WithFields(log.Fields{log.FieldGeneration: t.Generation}).Info("table_in_force")
+	f.cfg.Log.WithFields(log.Fields{log.FieldGeneration: t.Generation, "version": t.Version}).Info("table_in_force")
 	for _, fn := range f.watchers {
 		fn(t)
 	}
--- a/coordination/follow/follow_test.go
+++ b/coordination/follow/follow_test.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -58,7 +59,7 @@
 type silentPeers struct{}
 
 func (silentPeers) SendChange(table.Delta, ...string) {}
-func (silentPeers) SendPull(string, uint64)           {}
+func (silentPeers) SendPull(string, table.Stamp)      {}
 
 func object(t *testing.T, generation uint64) adapter.Object {
 	t.Helper()
@@ -168,13 +169,54 @@
 	}
 }
 
+// TestTablesOfAnOlderStore has a box with version 16, of generation 28, be offered another table
+// by the store or by another box.
+func TestTablesOfAnOlderStore(t *testing.T) {
+	route := func(n int) []table.Route { return []table.Route{{Name: fmt.Sprintf("r%d", n)}} }
+	known := table.Table{Version: 16, Generation: 28, Routes: route(16)}
+	cases := map[string]struct {
+		offered table.Table
+		taken   bool
+	}{
+		"a later version under a lower generation":  {offered: table.Table{Version: 20, Generation: 24, Routes: route(20)}, taken: true},
+		"an earlier version under a higher one":     {offered: table.Table{Version: 13, Generation: 30, Routes: route(13)}},
+		"the same version under a lower one":        {offered: table.Table{Version: 16, Generation: 24, Routes: route(16)}},
+		"no version, under a higher one":            {offered: table.Table{Generation: 29, Routes: route(1)}, taken: true},
+		"no version, under a lower one":             {offered: table.Table{Generation: 24, Routes: route(1)}},
+		"the same version, written again, of more":  {offered: table.Table{Version: 16, Generation: 31, Routes: route(16)}, taken: true},
+		"a later version under the same generation": {offered: table.Table{Version: 20, Generation: 28, Routes: route(20)}, taken: true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			ways := map[string]func(f *Follower){
+				"by the store":                func(f *Follower) { f.Offer(c.offered) },
+				"by another box":              func(f *Follower) { f.Receive("box-2", table.WholeDelta(c.offered)) },
+				"by another box, as a change": func(f *Follower) { f.Receive("box-2", table.Diff(known, c.offered)) },
+			}
+			for way, offer := range ways {
+				f := New(Config{Self: "box-1", Peers: silentPeers{}, Ranked: func(string) []string { return nil }, Log: log.Discard()})
+				f.open = true
+				f.Offer(known)
+				offer(f)
+				want := known
+				if c.taken {
+					want = c.offered
+				}
+				if got := f.Table(); got.Stamp() != want.Stamp() || got.Routes[0].Name != want.Routes[0].Name {
+					t.Errorf("%s: has %+v, want %+v", way, got.Stamp(), want.Stamp())
+				}
+			}
+		})
+	}
+}
+
 // pulls counts the questions that a box asks.
 type pulls struct {
 	silentPeers
 	asked *int
 }
 
-func (p pulls) SendPull(string, uint64) { *p.asked++ }
+func (p pulls) SendPull(string, table.Stamp) { *p.asked++ }
 
 func TestNewerTablesAreAskedFor(t *testing.T) {
 	cases := map[string]struct {
@@ -200,7 +242,7 @@
 				f := New(Config{Self: "box-1", Peers: pulls{asked: &asked}, Ranked: func(string) []string { return nil }, Log: log.Discard()})
 				f.open = !c.starts
 				f.Offer(table.Table{Generation: c.have})
-				f.Heard("box-2", c.heard)
+				f.Heard("box-2", table.Stamp{Generation: c.heard})
 				if c.starts != (asked == 1) {
 					t.Errorf("asked at once: %v", asked == 1)
 				}
@@ -208,7 +250,7 @@
 					if c.comes && k == 2 {
 						f.Offer(table.Table{Generation: c.heard})
 					}
-					f.Heard("box-2", c.heard)
+					f.Heard("box-2", table.Stamp{Generation: c.heard})
 					time.Sleep(100 * time.Millisecond)
 				}
 				if asked != c.want {
--- a/coordination/follow/pass.go
+++ b/coordination/follow/pass.go
@@ -41,48 +41,47 @@
 		current = f.pending
 	}
 	f.mutex.Unlock()
-	if d.Generation <= current.Generation {
+	if !d.Stamp().After(current.Stamp()) {
 		return
 	}
 	next, fits := current.WithDelta(d)
 	if !fits {
-		f.cfg.Peers.SendPull(from, current.Generation)
+		f.cfg.Peers.SendPull(from, current.Stamp())
 		return
 	}
 	f.Offer(next)
 }
 
 // Pull answers a box that has an older table.
-func (f *Follower) Pull(from string, have uint64) {
+func (f *Follower) Pull(from string, have table.Stamp) {
 	f.mutex.Lock()
 	current, change := f.table, table.WholeDelta(f.table)
 	for _, old := range f.past {
-		if old.Generation == have {
+		if old.Stamp() == have {
 			change = table.Diff(old, current)
 		}
 	}
 	f.mutex.Unlock()
-	if current.Generation > have {
+	if current.Stamp().After(have) {
 		f.cfg.Peers.SendChange(change, from)
 	}
 }
 
-// Heard takes in the generation that another box has in force, and asks for
-// it if it is newer.
-func (f *Follower) Heard(from string, generation uint64) {
+// Heard takes in which table another box has in force, and asks for it if it is newer.
+func (f *Follower) Heard(from string, stamp table.Stamp) {
 	f.mutex.Lock()
-	f.others = max(f.others, generation)
-	have := max(f.table.Generation, f.pending.Generation)
+	f.others = f.others.Latest(stamp)
+	have := f.table.Stamp().Latest(f.pending.Stamp())
 	now := time.Now()
 	switch {
-	case f.others <= have:
+	case !f.others.After(have):
 		f.behind = time.Time{}
 	case f.behind.IsZero():
 		f.behind = now
 	}
 	// One that starts has put nothing into force yet and asks at once.
 	waited := !f.open || now.Sub(f.behind) >= pullGrace
-	ask := generation > have && waited && now.Sub(f.pulled) >= pullPause
+	ask := stamp.After(have) && waited && now.Sub(f.pulled) >= pullPause
 	if ask {
 		f.pulled = now
 	}
@@ -99,7 +98,7 @@
 // box that it replaces had.
 func (f *Follower) tryOpen(late bool) {
 	f.mutex.Lock()
-	ready := f.pending.Generation > 0 && f.others > 0 && f.pending.Generation >= f.others
+	ready := f.pending.Generation > 0 && f.others.Generation > 0 && !f.others.After(f.pending.Stamp())
 	if f.open || !ready && !late || f.pending.Generation == 0 {
 		f.mutex.Unlock()
 		return
--- a/coordination/home/configure.go
+++ b/coordination/home/configure.go
@@ -18,10 +18,10 @@
 // configure takes changed groups over into those that run here. Those whose
 // endpoints are the same under the same table are left as they are.
 func (h *Homes) configure(known group.Groups) {
-	if known.Table().Generation < h.known.Table().Generation {
+	if h.known.Table().Stamp().After(known.Table().Stamp()) {
 		return
 	}
-	sameTable := known.Table().Generation == h.known.Table().Generation
+	sameTable := known.Table().Stamp() == h.known.Table().Stamp()
 	h.known = known
 	now := time.Now()
 	for key, g := range h.groups {
--- a/protocol/boxwire/boxwire.go
+++ b/protocol/boxwire/boxwire.go
@@ -22,6 +22,7 @@
 	"runridge.example/runridge/state/drain"
 	"runridge.example/runridge/state/member"
 	"runridge.example/runridge/state/position"
+	"runridge.example/runridge/state/table"
 )
 
 // Kind tells the messages apart on the wire.
@@ -122,6 +123,13 @@
 	Packed []byte
 	// DrainedEra is the era of Drained's revision; 0 is not told.
 	DrainedEra uint64
+	// Version is the operator's number of the sender's table; 0 is not told.
+	Version uint64
+}
+
+// Table is the sender's table.
+func (m *Member) Table() table.Stamp {
+	return table.Stamp{Version: m.Version, Generation: m.Generation}
 }
 
 // Change carries a change of the table, as compressed JSON: it is read by people in
@@ -130,11 +138,16 @@
 	Delta []byte
 }
 
-// Pull asks for what came after a generation.
+// Pull asks for what came after a table: its generation, and its number by the operator, 0 if
+// that is not told.
 type Pull struct {
-	Have uint64
+	Have    uint64
+	Version uint64
 }
 
+// Table is the table that the sender has.
+func (m *Pull) Table() table.Stamp { return table.Stamp{Version: m.Version, Generation: m.Have} }
+
 // Update tells what has changed among the endpoints. Generation is the sender's
 // table. Many changes are in Packed, compressed.
 type Update struct {
@@ -144,6 +157,13 @@
 	// Era is that of the update's positions, which are the store's own revisions here; 0
 	// is not told.
 	Era uint64
+	// Version is the operator's number of the sender's table; 0 is not told.
+	Version uint64
+}
+
+// Table is the sender's table.
+func (m *Update) Table() table.Stamp {
+	return table.Stamp{Version: m.Version, Generation: m.Generation}
 }
 
 // UpdatePull asks for the changes of endpoints after a position; 0 asks for all.
--- a/protocol/boxwire/update.go
+++ b/protocol/boxwire/update.go
@@ -8,6 +8,7 @@
 
 	"runridge.example/runridge/state/directory"
 	"runridge.example/runridge/state/position"
+	"runridge.example/runridge/state/table"
 )
 
 const (
@@ -18,19 +19,19 @@
 	maxUnpacked = MaxFrame
 )
 
-// FromUpdate converts an update to its message: packed where there are many changes, which
+// FromUpdate converts an update, of a box with its own table, to its message: packed where there are many changes, which
 // takes a fifth of the bytes.
-func FromUpdate(n directory.Update, generation uint64) (*Update, error) {
+func FromUpdate(n directory.Update, own table.Stamp) (*Update, error) {
 	era := position.Era(n.At)
 	n.After, n.At = position.Revision(n.After), position.Revision(n.At)
 	if len(n.Changes) < leastPacked {
-		return &Update{Update: n, Generation: generation, Era: era}, nil
+		return &Update{Update: n, Generation: own.Generation, Era: era, Version: own.Version}, nil
 	}
 	data, err := pack(n)
 	if err != nil {
 		return nil, fmt.Errorf("encode changes of endpoints: %w", err)
 	}
-	return &Update{Generation: generation, Packed: data, Era: era}, nil
+	return &Update{Generation: own.Generation, Packed: data, Era: era, Version: own.Version}, nil
 }
 
 // Open gives the update that the message tells.
@@ -56,5 +57,5 @@
 // fields.
 func (m *Update) unpacked() (Message, error) {
 	n, err := m.plain()
-	return &Update{Update: n, Generation: m.Generation, Era: m.Era}, err
+	return &Update{Update: n, Generation: m.Generation, Era: m.Era, Version: m.Version}, err
 }
--- a/protocol/boxwire/update_test.go
+++ b/protocol/boxwire/update_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"runridge.example/runridge/state/directory"
+	"runridge.example/runridge/state/table"
 )
 
 // changesOf makes changes such as a fleet has them.
@@ -40,7 +41,7 @@
 	for name, count := range cases {
 		t.Run(name, func(t *testing.T) {
 			want := directory.Update{Origin: "a", Sequence: 3, After: 5, At: 9, Changes: changesOf(count)}
-			m, err := FromUpdate(want, 7)
+			m, err := FromUpdate(want, table.Stamp{Generation: 7})
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -66,7 +67,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	m, err := FromUpdate(n, 0)
+	m, err := FromUpdate(n, table.Stamp{})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/protocol/boxwire/version_test.go
+++ b/protocol/boxwire/version_test.go
@@ -25,6 +25,7 @@
 
 	"runridge.example/runridge/state/directory"
 	"runridge.example/runridge/state/member"
+	"runridge.example/runridge/state/table"
 )
 
 // unversioned has the frames that this build writes to builds whose greetings tell no version,
@@ -157,7 +158,7 @@
 // would refuse what is inside.
 func TestPackedUpdatesToEarlierBuilds(t *testing.T) {
 	want := withChanges(golden()["update"].(*Update), 2*leastPacked)
-	m, err := FromUpdate(want.Update, want.Generation)
+	m, err := FromUpdate(want.Update, want.Table())
 	if err != nil || len(m.Packed) == 0 {
 		t.Fatalf("%d bytes packed (%v)", len(m.Packed), err)
 	}
@@ -334,7 +335,7 @@
 
 // BenchmarkReadList reads a list of 10,000 endpoints, as a box that starts does.
 func BenchmarkReadList(b *testing.B) {
-	m, err := FromUpdate(directory.Update{Origin: "a", Whole: true, At: 9, Changes: changesOf(10_000)}, 2)
+	m, err := FromUpdate(directory.Update{Origin: "a", Whole: true, At: 9, Changes: changesOf(10_000)}, table.Stamp{Generation: 2})
 	if err != nil {
 		b.Fatal(err)
 	}
--- a/state/table/delta.go
+++ b/state/table/delta.go
@@ -13,16 +13,20 @@
 // of kilobytes.
 type Delta struct {
 	// Base and Generation are the tables before and after.
-	Base       uint64         `json:"base"`
-	Generation uint64         `json:"generation"`
-	Zones      Part[Zone]     `json:"zones,omitzero"`
-	Services   Part[Service]  `json:"services,omitzero"`
-	Pools      Part[Pool]     `json:"pools,omitzero"`
-	Endpoints  Part[Endpoint] `json:"endpoints,omitzero"`
-	Rows       Part[Row]      `json:"rows,omitzero"`
-	Links      Part[Link]     `json:"links,omitzero"`
-	Accounts   Part[Account]  `json:"accounts,omitzero"`
-	Routes     Part[Route]    `json:"routes,omitzero"`
+	Base       uint64 `json:"base"`
+	Generation uint64 `json:"generation"`
+	// BaseVersion and Version are their numbers by the operator.
+	BaseVersion uint64 `json:"base_version,omitempty"`
+	Version     uint64 `json:"version,omitempty"`
+
+	Zones     Part[Zone]     `json:"zones,omitzero"`
+	Services  Part[Service]  `json:"services,omitzero"`
+	Pools     Part[Pool]     `json:"pools,omitzero"`
+	Endpoints Part[Endpoint] `json:"endpoints,omitzero"`
+	Rows      Part[Row]      `json:"rows,omitzero"`
+	Links     Part[Link]     `json:"links,omitzero"`
+	Accounts  Part[Account]  `json:"accounts,omitzero"`
+	Routes    Part[Route]    `json:"routes,omitzero"`
 	// Limits are those after the change.
 	Limits Limits `json:"limits,omitzero"`
 	Whole  *Table `json:"whole,omitempty"`
@@ -58,23 +62,30 @@
 	return Delta{
 		Base:       from.Generation,
 		Generation: to.Generation,
-		Zones:      diff(from.Zones, to.Zones),
-		Services:   diff(from.Services, to.Services),
-		Pools:      diff(from.Pools, to.Pools),
-		Endpoints:  diff(from.Endpoints, to.Endpoints),
-		Rows:       diff(from.Rows, to.Rows),
-		Links:      diff(from.Links, to.Links),
-		Accounts:   diff(from.Accounts, to.Accounts),
-		Routes:     diff(from.Routes, to.Routes),
-		Limits:     to.Limits,
+
+		BaseVersion: from.Version,
+		Version:     to.Version,
+
+		Zones:     diff(from.Zones, to.Zones),
+		Services:  diff(from.Services, to.Services),
+		Pools:     diff(from.Pools, to.Pools),
+		Endpoints: diff(from.Endpoints, to.Endpoints),
+		Rows:      diff(from.Rows, to.Rows),
+		Links:     diff(from.Links, to.Links),
+		Accounts:  diff(from.Accounts, to.Accounts),
+		Routes:    diff(from.Routes, to.Routes),
+		Limits:    to.Limits,
 	}
 }
 
 // WholeDelta carries a whole table, for a box that has none of its bases.
 func WholeDelta(t Table) Delta {
-	return Delta{Generation: t.Generation, Whole: &t}
+	return Delta{Generation: t.Generation, Version: t.Version, Whole: &t}
 }
 
+// Stamp is that of the table after the change.
+func (d Delta) Stamp() Stamp { return Stamp{Version: d.Version, Generation: d.Generation} }
+
 func diff[T keyed](from, to []T) Part[T] {
 	var p Part[T]
 	before := make(map[string]T, len(from))
@@ -102,11 +113,12 @@
 	if d.Whole != nil {
 		return d.Whole.WithGeneration(d.Generation), true
 	}
-	if d.Base != t.Generation {
+	if d.Base != t.Generation || d.BaseVersion != t.Version {
 		return t, false
 	}
 	return Table{
 		Generation: d.Generation,
+		Version:    d.Version,
 		Zones:      patch(t.Zones, d.Zones),
 		Services:   patch(t.Services, d.Services),
 		Pools:      patch(t.Pools, d.Pools),
--- a/state/table/table.go
+++ b/state/table/table.go
@@ -26,17 +26,20 @@
 
 // Table is one accepted configuration.
 type Table struct {
-	// Generation grows by one with each accepted change and never falls.
-	Generation uint64     `json:"generation"`
-	Zones      []Zone     `json:"zones"`
-	Services   []Service  `json:"services"`
-	Pools      []Pool     `json:"pools"`
-	Endpoints  []Endpoint `json:"endpoints"`
-	Rows       []Row      `json:"rows"`
-	Links      []Link     `json:"links,omitempty"`
-	Accounts   []Account  `json:"accounts,omitempty"`
-	Routes     []Route    `json:"routes,omitempty"`
-	Limits     Limits     `json:"limits,omitzero"`
+	// Generation grows with each accepted change, unless the platform's store comes back from
+	// an older copy.
+	Generation uint64 `json:"generation"`
+	// Version is the operator's own number of the table, which never falls; 0 is none.
+	Version   uint64     `json:"version,omitempty"`
+	Zones     []Zone     `json:"zones"`
+	Services  []Service  `json:"services"`
+	Pools     []Pool     `json:"pools"`
+	Endpoints []Endpoint `json:"endpoints"`
+	Rows      []Row      `json:"rows"`
+	Links     []Link     `json:"links,omitempty"`
+	Accounts  []Account  `json:"accounts,omitempty"`
+	Routes    []Route    `json:"routes,omitempty"`
+	Limits    Limits     `json:"limits,omitzero"`
 }
 
 // Zone is an availability zone.
--- a/tests/routed/account_test.go
+++ b/tests/routed/account_test.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"runridge.example/runridge/platform/standin"
+	"runridge.example/runridge/state/table"
 )
 
 // Keys of the accounts in these tests.
@@ -234,7 +235,7 @@
 		b := s.boxes[0]
 		a := s.send(b, http.MethodGet, "/safe/x", "", bearer("added-just-now"))
 		convey.So(a.status, convey.ShouldEqual, http.StatusUnauthorized)
-		b.Heard("another", b.Table().Generation+1)
+		b.Heard("another", table.Stamp{Version: b.Table().Version + 1, Generation: b.Table().Generation + 1})
 		a = s.send(b, http.MethodGet, "/safe/x", "", bearer("added-just-now"))
 		convey.So(a.status, convey.ShouldEqual, http.StatusServiceUnavailable)
 		convey.So(a.header.Get("Retry-After"), convey.ShouldNotBeEmpty)
