A drain that is written just after the store came back older is not passed over

Cause: for 5 s after the return a list did not count, and yet moved the position. A drain that was written between two lists was so neither in what held nor among the changes after it, until the list was read again; boxes that heard from others then stood at its position without it.

Such a list now adds to what is known: zones on it are drained, but for drains known to have ended, told by the revision at which they were written.

--- a/coordination/drain/drain.go
+++ b/coordination/drain/drain.go
@@ -223,7 +223,7 @@
 	held := k.noteReturn(time.Now(), at)
 	k.update("platform", func(z drain.Zones) drain.Zones {
 		if held {
-			return z.AtReturn(at)
+			return z.AtReturn(at, list)
 		}
 		return z.WithList(at, list)
 	})
--- a/state/drain/drain.go
+++ b/state/drain/drain.go
@@ -8,6 +8,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 
@@ -37,6 +38,8 @@
 	// revision is that of the last change, as far as this box or another knows.
 	revision uint64
 	drained  []Zone
+	// ended are drains that ended, as they were written.
+	ended []Zone
 }
 
 // firstRevision is that of a list on which no zone was ever drained, as of a position: 0
@@ -121,30 +124,63 @@
 		return z
 	}
 	list = sorted(list)
-	next := Zones{at: at, revision: max(z.revision, firstRevision(at)), drained: list}
+	revision := max(z.revision, firstRevision(at))
 	switch {
 	case slices.Equal(list, z.drained):
 	case z.Known():
-		next.revision = at
+		revision = at
 	default:
 		for _, zone := range list {
-			next.revision = max(next.revision, zone.Revision)
+			revision = max(revision, zone.Revision)
 		}
 	}
-	return next
+	return z.with(at, revision, list)
 }
 
-// AtReturn returns the zones as of a position of a platform that came back from an older
-// copy, where what was known goes on.
-func (z Zones) AtReturn(at uint64) Zones {
+// with returns the zones as of a position with others drained, and remembers which ended.
+func (z Zones) with(at, revision uint64, drained []Zone) Zones {
+	ended := z.ended
+	for _, zone := range z.drained {
+		if indexOf(drained, zone.Name) < 0 {
+			ended = append(without(ended, zone.Name), zone)
+		}
+	}
+	return Zones{at: at, revision: revision, drained: drained, ended: ended}
+}
+
+func indexOf(zones []Zone, name string) int {
+	return slices.IndexFunc(zones, func(z Zone) bool { return z.Name == name })
+}
+
+// without copies zones, but for one.
+func without(zones []Zone, name string) []Zone {
+	return slices.DeleteFunc(slices.Clone(zones), func(z Zone) bool { return z.Name == name })
+}
+
+// AtReturn returns the zones after the list of a platform that came back from an older copy.
+// What was known to be drained is so still; what is on the list is drained too, unless it is
+// a drain that is known to have ended.
+func (z Zones) AtReturn(at uint64, list []Zone) Zones {
 	if at < z.at {
 		return z
 	}
-	next := Zones{at: at, revision: max(z.revision, firstRevision(at)), drained: slices.Clone(z.drained)}
-	for i, zone := range next.drained {
-		next.drained[i].Revision = position.Of(position.Era(at), position.Revision(zone.Revision))
+	drained := sorted(list)
+	drained = slices.DeleteFunc(drained, func(zone Zone) bool {
+		i := indexOf(z.ended, zone.Name)
+		return i >= 0 && position.Revision(z.ended[i].Revision) == position.Revision(zone.Revision)
+	})
+	for _, zone := range z.drained {
+		if indexOf(drained, zone.Name) < 0 {
+			zone.Revision = position.Of(position.Era(at), position.Revision(zone.Revision))
+			drained = append(drained, zone)
+		}
+	}
+	drained = sorted(drained)
+	revision := max(z.revision, firstRevision(at))
+	if !maps.Equal(Zones{drained: drained}.Names(), z.Names()) {
+		revision = at
 	}
-	return next
+	return z.with(at, revision, drained)
 }
 
 // WithChanges returns the zones after changes up to a revision, in their order.
@@ -155,7 +191,7 @@
 	}
 	list := slices.Clone(z.drained)
 	for _, c := range changes {
-		list = slices.DeleteFunc(list, func(zone Zone) bool { return zone.Name == c.Zone.Name })
+		list = without(list, c.Zone.Name)
 		if !c.Ended {
 			list = append(list, c.Zone)
 		}
@@ -170,11 +206,11 @@
 	u.Drained = sorted(u.Drained)
 	differ := !slices.Equal(z.drained, u.Drained)
 	if u.At > z.at {
-		next := Zones{at: u.At, revision: max(z.revision, u.Revision), drained: u.Drained}
+		revision := max(z.revision, u.Revision)
 		if differ && u.Revision <= z.revision {
-			next.revision = u.At
+			revision = u.At
 		}
-		return next
+		return z.with(u.At, revision, u.Drained)
 	}
 	if differ && u.Revision >= z.revision {
 		z.revision = max(z.at, u.Revision)
