The store's first era looks as it did to builds that know none

Eras were counted from 1 in positions, so that all revisions that a box names to others, and the fencing tokens of its orders, were higher than those of builds without eras from the start. During a change of builds either would have dropped what the other tells. The first era is 0 now: until a store has come back older, all numbers are what they were. In messages the era is told one higher, so that a box which has not seen the return is not taken for one that tells none (TestErasInMessages).

--- a/box/drain.go
+++ b/box/drain.go
@@ -7,7 +7,6 @@
 	"runridge.example/runridge/coordination/drain"
 	"runridge.example/runridge/protocol/boxwire"
 	zones "runridge.example/runridge/state/drain"
-	"runridge.example/runridge/state/position"
 )
 
 // newDrains makes the duty that follows the drained zones.
@@ -78,11 +77,9 @@
 	return true
 }
 
-// hearDrained takes in the version that another box names, with its era.
-func (b *Box) hearDrained(from string, v zones.Version, era uint64) {
-	if b.routed == nil {
-		return
+// hearDrained takes in the version that another box names.
+func (b *Box) hearDrained(from string, m *boxwire.Member) {
+	if b.routed != nil {
+		b.routed.drains.Heard(from, m.DrainedVersion(b.routed.drains.Zones().At()))
 	}
-	v.Revision = position.In(position.Of(era, v.Revision), b.routed.drains.Zones().At())
-	b.routed.drains.Heard(from, v)
 }
--- a/box/wire.go
+++ b/box/wire.go
@@ -17,7 +17,6 @@
 	zones "runridge.example/runridge/state/drain"
 	"runridge.example/runridge/state/lifecycle"
 	"runridge.example/runridge/state/member"
-	"runridge.example/runridge/state/position"
 	"runridge.example/runridge/state/schedule"
 	"runridge.example/runridge/state/table"
 	"runridge.example/runridge/transport/boxnet"
@@ -53,13 +52,10 @@
 // SendMember sends a membership message with the table's generation, the version
 // of the drained zones and the digest of the suspected requests.
 func (p peers) SendMember(box string, m member.Message) ring.Outcome {
-	drained, own := p.drained(), p.table()
-	era := position.Era(drained.Revision)
-	drained.Revision = position.Revision(drained.Revision)
-	out := &boxwire.Member{
-		Message: m, Generation: own.Generation, Version: own.Version, AgeMS: ageMS(p.age()), Drained: drained, DrainedEra: era,
-		Suspects: p.suspects(),
-	}
+	own := p.table()
+	out := boxwire.Member{
+		Message: m, Generation: own.Generation, Version: own.Version, AgeMS: ageMS(p.age()), Suspects: p.suspects(),
+	}.WithDrained(p.drained())
 	packed, err := out.Pack()
 	if err != nil {
 		panic(err)
@@ -187,7 +183,7 @@
 		b.receiveMember(from, m)
 		b.follower.Heard(from, m.Table())
 		b.follower.Confirmed(m.Table(), ageOf(m.AgeMS))
-		b.hearDrained(from, m.Drained, m.DrainedEra)
+		b.hearDrained(from, m)
 		b.quarantine.Heard(from, m.Suspects)
 	case *boxwire.QuotaAsk:
 		if b.routed != nil {
@@ -206,7 +202,7 @@
 		b.receiveUpdate(from, m)
 	case *boxwire.UpdatePull:
 		if b.routed != nil {
-			b.routed.discoverer.Pull(from, m.Position())
+			b.routed.discoverer.Pull(from, m.Position(b.Directory().At()))
 		}
 	default:
 		b.receiveCommand(sender, names, m)
@@ -229,7 +225,7 @@
 	if b.routed == nil {
 		return
 	}
-	n, err := m.Open()
+	n, err := m.Open(b.Directory().At())
 	if err != nil {
 		b.options.Log.WithFields(log.Fields{"peer": from}).WithError(err).Warn("update_bad")
 		return
--- a/coordination/discover/gap.go
+++ b/coordination/discover/gap.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"runridge.example/runridge/state/directory"
-	"runridge.example/runridge/state/position"
 )
 
 const (
@@ -119,7 +118,6 @@
 // since, or all that is known here if they are not kept any more.
 func (d *Discoverer) Pull(from string, have uint64) {
 	d.mutex.Lock()
-	have = position.In(have, d.known.At())
 	missed, kept := d.gap.history.Since(have)
 	known := d.known
 	underWay := have == 0 && time.Since(d.gap.listPassed) < listUnderWay && slices.Contains(d.gap.listTo, from)
--- a/coordination/discover/share.go
+++ b/coordination/discover/share.go
@@ -11,7 +11,6 @@
 	"runridge.example/runridge/modules/log"
 	"runridge.example/runridge/state/cover"
 	"runridge.example/runridge/state/directory"
-	"runridge.example/runridge/state/position"
 	"runridge.example/runridge/state/spread"
 )
 
@@ -195,8 +194,6 @@
 // is the answer to this box's own question, and goes no further.
 func (d *Discoverer) Receive(from string, n directory.Update) {
 	now := time.Now()
-	at := d.Directory().At()
-	n.After, n.At = position.In(n.After, at), position.In(n.At, at)
 	answer := n.Origin == ""
 	if !answer && !d.unseen(now, n) {
 		return
--- a/protocol/boxwire/boxwire.go
+++ b/protocol/boxwire/boxwire.go
@@ -121,12 +121,25 @@
 	Suspects   uint64
 	// Packed are the message's updates, compressed, where there are many.
 	Packed []byte
-	// DrainedEra is the era of Drained's revision; 0 is not told.
-	DrainedEra uint64
+	// DrainedEra is the era of Drained's revision.
+	DrainedEra Era
 	// Version is the operator's number of the sender's table; 0 is not told.
 	Version uint64
 }
 
+// WithDrained returns the message with the version of the drained zones.
+func (m Member) WithDrained(v drain.Version) Member {
+	m.DrainedEra = EraOf(v.Revision)
+	m.Drained = drain.Version{Revision: position.Revision(v.Revision), Digest: v.Digest}
+	return m
+}
+
+// DrainedVersion is the version of the drained zones that the message tells to a box which
+// knows them as of a position.
+func (m *Member) DrainedVersion(as uint64) drain.Version {
+	return drain.Version{Revision: m.DrainedEra.position(m.Drained.Revision, as), Digest: m.Drained.Digest}
+}
+
 // Table is the sender's table.
 func (m *Member) Table() table.Stamp {
 	return table.Stamp{Version: m.Version, Generation: m.Generation}
@@ -154,9 +167,8 @@
 	Update     directory.Update
 	Generation uint64
 	Packed     []byte
-	// Era is that of the update's positions, which are the store's own revisions here; 0
-	// is not told.
-	Era uint64
+	// Era is that of the update's revisions.
+	Era Era
 	// Version is the operator's number of the sender's table; 0 is not told.
 	Version uint64
 }
@@ -168,17 +180,17 @@
 
 // UpdatePull asks for the changes of endpoints after a position; 0 asks for all.
 type UpdatePull struct {
-	// Have is the store's own revision at the position, of an era; 0 is not told.
-	Have, Era uint64
+	Have uint64
+	Era  Era
 }
 
 // NewUpdatePull asks for the changes after a position.
 func NewUpdatePull(have uint64) *UpdatePull {
-	return &UpdatePull{Have: position.Revision(have), Era: position.Era(have)}
+	return &UpdatePull{Have: position.Revision(have), Era: EraOf(have)}
 }
 
-// Position is the position after which changes are asked for.
-func (m *UpdatePull) Position() uint64 { return position.Of(m.Era, m.Have) }
+// Position is that after which a box at a position is asked for changes.
+func (m *UpdatePull) Position(as uint64) uint64 { return m.Era.position(m.Have, as) }
 
 // Kind is KindUpdate.
 func (*Update) Kind() Kind { return KindUpdate }
--- a/protocol/boxwire/drain.go
+++ b/protocol/boxwire/drain.go
@@ -14,13 +14,12 @@
 type Drained struct {
 	// Update has the store's own revisions in place of positions.
 	Update drain.Update
-	// Era is that of the revisions; 0 is not told.
-	Era uint64
+	Era    Era
 }
 
 // FromDrained converts drained zones to their message.
 func FromDrained(u drain.Update) *Drained {
-	era := position.Era(u.At)
+	era := EraOf(u.At)
 	u.At, u.Revision = position.Revision(u.At), position.Revision(u.Revision)
 	u.Drained = slices.Clone(u.Drained)
 	for i := range u.Drained {
@@ -29,20 +28,13 @@
 	return &Drained{Update: u, Era: era}
 }
 
-// Open gives the drained zones that the message tells. What tells no era is of that of a
-// position.
+// Open gives the drained zones that the message tells to a box that stands at a position.
 func (m *Drained) Open(as uint64) drain.Update {
-	u, era := m.Update, m.Era
-	if u.At == 0 {
-		return u
-	}
-	if era == 0 {
-		era = position.Era(as)
-	}
-	u.At, u.Revision = position.Of(era, u.At), position.Of(era, u.Revision)
+	u := m.Update
+	u.At, u.Revision = m.Era.position(u.At, as), m.Era.position(u.Revision, as)
 	u.Drained = slices.Clone(u.Drained)
 	for i := range u.Drained {
-		u.Drained[i].Revision = position.Of(era, u.Drained[i].Revision)
+		u.Drained[i].Revision = m.Era.position(u.Drained[i].Revision, as)
 	}
 	return u
 }
--- a/protocol/boxwire/update.go
+++ b/protocol/boxwire/update.go
@@ -22,7 +22,7 @@
 // FromUpdate converts an update, of a box with its own table, to its message: packed where there are many changes, which
 // takes a fifth of the bytes.
 func FromUpdate(n directory.Update, own table.Stamp) (*Update, error) {
-	era := position.Era(n.At)
+	era := EraOf(n.At)
 	n.After, n.At = position.Revision(n.After), position.Revision(n.At)
 	if len(n.Changes) < leastPacked {
 		return &Update{Update: n, Generation: own.Generation, Era: era, Version: own.Version}, nil
@@ -34,10 +34,10 @@
 	return &Update{Generation: own.Generation, Packed: data, Era: era, Version: own.Version}, nil
 }
 
-// Open gives the update that the message tells.
-func (m *Update) Open() (directory.Update, error) {
+// Open gives the update that the message tells to a box that stands at a position.
+func (m *Update) Open(as uint64) (directory.Update, error) {
 	n, err := m.plain()
-	n.After, n.At = position.Of(m.Era, n.After), position.Of(m.Era, n.At)
+	n.After, n.At = m.Era.position(n.After, as), m.Era.position(n.At, as)
 	return n, err
 }
 
--- a/state/position/position.go
+++ b/state/position/position.go
@@ -14,7 +14,7 @@
 	maxRevision  = 1<<revisionBits - 1
 )
 
-// Of is the position of a revision in an era; era 0 is that of a store that tells none.
+// Of is the position of a revision in an era, 0 being the first.
 func Of(era, revision uint64) uint64 { return era<<revisionBits | revision&maxRevision }
 
 // Era is the era of a position.
@@ -22,12 +22,3 @@
 
 // Revision is the store's own revision at a position.
 func Revision(position uint64) uint64 { return position & maxRevision }
-
-// In is a position that tells no era as one of another position's era; others, and 0, stay
-// as they are.
-func In(position, as uint64) uint64 {
-	if position == 0 || Era(position) > 0 {
-		return position
-	}
-	return Of(Era(as), position)
-}
