An engine gets no orders of two boxes when the store has lost a lease

A box orders an engine under a lease in the store. Where the store came back from a copy without it, the next box found none and ordered at once, under a fencing token that could be lower than, or the same as, one that the engine had seen.

Fencing tokens are positions since the last commits, so they rise with the era. A lease that is written after a return gives orders only once another's, lost, would be over: 2 leases and what is on its way after the box learnt of the return, or after the write where its answer is the first to tell the era. A box whose own lease is gone takes over, instead of giving the order up.

--- a/box/routed.go
+++ b/box/routed.go
@@ -119,6 +119,8 @@
 		Rules:   stageRulesOf(s),
 		Metrics: b.metrics,
 		Log:     b.options.Log,
+
+		LatestReturn: r.discoverer.LatestReturn,
 	})
 	r.relay = relay.New(relay.Config{
 		Box:          b.settings.Name,
--- a/coordination/discover/outage.go
+++ b/coordination/discover/outage.go
@@ -29,6 +29,8 @@
 	failed bool
 	// rereadAt is when the whole list is due once more; zero is not.
 	rereadAt time.Time
+	// returnedAt is when the platform was last seen to have come back older; zero is never.
+	returnedAt time.Time
 }
 
 // noteFailed takes in that a call to the platform failed.
@@ -74,7 +76,7 @@
 	}
 	d.known = d.known.WithHeld(now.Add(heldFor))
 	d.graceFrom(now)
-	d.outage.rereadAt = now.Add(rereadAfter)
+	d.outage.rereadAt, d.outage.returnedAt = now.Add(rereadAfter), now
 	d.cfg.Log.WithFields(log.Fields{
 		"era": position.Era(at), "position": at, "era_before": position.Era(before), "position_before": before,
 	}).Warn("endpoint_list_came_back_older")
@@ -91,6 +93,14 @@
 	}
 }
 
+// LatestReturn is the era of the platform as far as this box knows, and when it was seen to
+// have come back older; zero is not since the box started.
+func (d *Discoverer) LatestReturn() (era uint64, at time.Time) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return position.Era(d.known.At()), d.outage.returnedAt
+}
+
 // rereads says whether the whole list is due once more after the platform came back older.
 func (d *Discoverer) rereads(now time.Time) bool {
 	d.mutex.Lock()
--- a/coordination/stages/lease.go
+++ b/coordination/stages/lease.go
@@ -11,6 +11,7 @@
 	"runridge.example/runridge/coordination/adapter"
 	"runridge.example/runridge/modules/log"
 	"runridge.example/runridge/modules/sleep"
+	"runridge.example/runridge/state/position"
 )
 
 // held is a lease that this process has written: its revision, when the write was
@@ -30,7 +31,7 @@
 	known := k.held[engine]
 	k.mutex.Unlock()
 	h, err := k.write(ctx, engine, known.revision, known.from)
-	if errors.Is(err, adapter.ErrConflict) {
+	if errors.Is(err, adapter.ErrConflict) || errors.Is(err, adapter.ErrNotFound) {
 		h, err = k.takeOver(ctx, engine)
 	}
 	if err != nil {
@@ -55,11 +56,34 @@
 	if found.Revision == 0 {
 		return k.write(ctx, engine, 0, time.Time{})
 	}
-	r := k.current()
-	wait := 2*r.Lease + r.Thaw
+	wait := k.takeOverWait()
 	k.cfg.Log.WithFields(log.Fields{log.FieldEngine: engine, "held_by": found.Holder, "revision": found.Revision, "wait_ms": wait.Milliseconds()}).Info("stage_lease_taken")
 	// The wait counts from after the write: whoever held it cannot renew it then.
-	return k.write(ctx, engine, found.Revision, time.Now().Add(wait+callTimeout))
+	return k.write(ctx, engine, found.Revision, time.Now().Add(wait))
+}
+
+// takeOverWait is how long after another's lease may have been written orders are given
+// under the next one.
+func (k *Keeper) takeOverWait() time.Duration {
+	r := k.current()
+	return 2*r.Lease + r.Thaw + callTimeout
+}
+
+// afterReturn is from when on orders may be given under a lease that was written now, where
+// the store may have lost another's. Zero is at once.
+func (k *Keeper) afterReturn(now time.Time, revision uint64) time.Time {
+	if k.cfg.LatestReturn == nil {
+		return time.Time{}
+	}
+	era, at := k.cfg.LatestReturn()
+	switch {
+	case position.Era(revision) > era:
+		return now.Add(k.takeOverWait())
+	case at.IsZero():
+		return time.Time{}
+	default:
+		return at.Add(k.takeOverWait())
+	}
 }
 
 // write writes a lease by compare-and-set.
@@ -75,6 +99,9 @@
 	if h.revision, err = k.cfg.Leases.WriteLease(call, engine, k.cfg.Self, mark, revision); err != nil {
 		return held{}, err
 	}
+	if after := k.afterReturn(time.Now(), h.revision); after.After(h.from) {
+		h.from = after
+	}
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	k.held[engine] = h
--- a/coordination/stages/stages.go
+++ b/coordination/stages/stages.go
@@ -88,7 +88,10 @@
 	Find func(id string) (Engine, bool)
 	// Known says whether an engine is remembered.
 	Known func(id string) bool
-	Rules Rules
+	// LatestReturn is the era of the platform's store after it last came back from an older
+	// copy, and when this box learnt of that; zero is never. Nil knows of none.
+	LatestReturn func() (era uint64, at time.Time)
+	Rules        Rules
 	// Metrics, if set, counts orders.
 	Metrics Metrics
 	Log     log.Logger
--- a/coordination/stages/stages_test.go
+++ b/coordination/stages/stages_test.go
@@ -20,6 +20,7 @@
 	"runridge.example/runridge/coordination/home"
 	"runridge.example/runridge/modules/log"
 	"runridge.example/runridge/modules/ring"
+	"runridge.example/runridge/state/position"
 	"runridge.example/runridge/tests/seed"
 )
 
@@ -41,10 +42,15 @@
 
 // world is one engine and a store, with faults that a test draws.
 type world struct {
-	mutex    sync.Mutex
-	luck     *rand.Rand
+	mutex sync.Mutex
+	luck  *rand.Rand
+	// revision is the store's last, in its era; all boxes learn of that era at returned.
 	revision uint64
+	era      uint64
+	returned time.Time
 	lease    Lease
+	// away says that the store answers nobody.
+	away bool
 	// storeLoses and engineLoses are the chances that an answer is lost, and slow
 	// the longest time that a call takes.
 	storeLoses, engineLoses float64
@@ -88,7 +94,48 @@
 	}
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	return w.lease, nil
+	if w.away {
+		return Lease{}, errLost
+	}
+	if w.lease.Revision == 0 {
+		return Lease{}, nil
+	}
+	return Lease{Revision: position.Of(w.era, w.lease.Revision), Holder: w.lease.Holder}, nil
+}
+
+// returnOlder takes the store away, and has it come back a while later as it was.
+func (w *world) returnOlder(away, noticed time.Duration) {
+	w.mutex.Lock()
+	revision, lease := w.revision, w.lease
+	w.mutex.Unlock()
+	// What is written in this time is lost.
+	time.Sleep(lostTime)
+	w.mutex.Lock()
+	w.away = true
+	w.mutex.Unlock()
+	time.Sleep(away)
+	w.mutex.Lock()
+	w.away = false
+	w.era++
+	w.revision, w.lease = revision, lease
+	w.mutex.Unlock()
+	time.Sleep(noticed)
+	w.mutex.Lock()
+	w.returned = time.Now()
+	w.mutex.Unlock()
+}
+
+// lostTime is how old the copy is.
+const lostTime = 4 * time.Second
+
+// latestReturn is what all boxes know of returns of the store.
+func (w *world) latestReturn() (era uint64, at time.Time) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if w.returned.IsZero() {
+		return 0, time.Time{}
+	}
+	return w.era, w.returned
 }
 
 // WriteLease may be done long after its caller has gone.
@@ -98,13 +145,17 @@
 		return 0, errLost
 	}
 	w.mutex.Lock()
-	if w.lease.Revision != revision {
+	if w.away {
+		w.mutex.Unlock()
+		return 0, errLost
+	}
+	if w.lease.Revision != position.Revision(revision) || revision > 0 && position.Era(revision) != w.era {
 		w.mutex.Unlock()
 		return 0, adapter.ErrConflict
 	}
 	w.revision++
-	written := w.revision
-	w.lease = Lease{Revision: written, Holder: holder}
+	written := position.Of(w.era, w.revision)
+	w.lease = Lease{Revision: w.revision, Holder: holder}
 	w.mutex.Unlock()
 	if !done || w.chance(w.storeLoses) {
 		return 0, errLost
@@ -165,6 +216,8 @@
 		Self: name, Leases: w, Engines: w, Homes: w, Rules: rules, Log: log.Discard(),
 		Find:  func(id string) (Engine, bool) { return Engine{ID: id}, true },
 		Known: func(string) bool { return true },
+
+		LatestReturn: w.latestReturn,
 	})
 }
 
@@ -192,7 +245,8 @@
 }
 
 // TestOracleHolders drives three boxes that want to order one engine to and fro, over
-// a store and links that are slow, lose answers and do writes late.
+// a store and links that are slow, lose answers and do writes late; the store may come back
+// from an older copy.
 func TestOracleHolders(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
 		type want struct {
@@ -211,6 +265,9 @@
 		storeLoses := rapid.SampledFrom([]float64{0, 0.3}).Draw(r, "store loses")
 		engineLoses := rapid.SampledFrom([]float64{0, 0.3}).Draw(r, "engine loses")
 		slow := time.Duration(rapid.SampledFrom([]int{5, 600, 2500}).Draw(r, "slow ms")) * time.Millisecond
+		copied := time.Duration(rapid.SampledFrom([]int{-1, 0, 3000, 6000, 11_000}).Draw(r, "copied ms")) * time.Millisecond
+		away := time.Duration(rapid.SampledFrom([]int{500, 2500}).Draw(r, "away ms")) * time.Millisecond
+		noticed := time.Duration(rapid.SampledFrom([]int{10, 2000}).Draw(r, "noticed ms")) * time.Millisecond
 		failure := ""
 		synctest.Test(t, func(t *testing.T) {
 			ctx, cancel := context.WithCancel(t.Context())
@@ -230,6 +287,9 @@
 					_ = keepers[x.box].Offer(c)
 				})
 			}
+			if copied >= 0 {
+				time.AfterFunc(copied, func() { w.returnOlder(away, noticed) })
+			}
 			time.Sleep(2 * time.Minute)
 			cancel()
 			time.Sleep(time.Minute)
@@ -250,6 +310,45 @@
 	})
 }
 
+// TestLeaseThatTheStoreHasLost has one box order an engine under a lease that the store then
+// loses, and another one want to order it at once.
+func TestLeaseThatTheStoreHasLost(t *testing.T) {
+	cases := map[string]struct {
+		// known says that the second box has learnt of the return by other calls, and held that it
+		// had a lease of its own before.
+		known, held bool
+	}{
+		"nothing is known of the return": {},
+		"the return is known":            {known: true},
+		"the second held it before":      {held: true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			fresh(t, func(ctx context.Context, w *world) {
+				first, second := w.keeper("a"), w.keeper("b")
+				if c.held {
+					if _, err := second.acquire(ctx, "e"); err != nil {
+						t.Fatal(err)
+					}
+				}
+				copied, lease := w.revision, w.lease
+				first.one(ctx, change{engine: "e"})
+				w.revision, w.lease, w.era = copied, lease, 1
+				if c.known {
+					w.returned = time.Now()
+				}
+				second.one(ctx, change{engine: "e", prefill: true})
+				if len(w.arrived) != 2 {
+					t.Fatalf("%d orders arrived, want that of each", len(w.arrived))
+				}
+				if failure := w.check(); failure != "" {
+					t.Error(failure)
+				}
+			})
+		})
+	}
+}
+
 // TestEngineThatLeavesBeforeItsOrder has an engine's zone drained while its lease is
 // written.
 func TestEngineThatLeavesBeforeItsOrder(t *testing.T) {
