Boxes whose entries the store has lost are not taken for ended

Found on reading what compares revisions. A box that membership takes for dead and that the platform's list lacks counts as ended, and repeats of its keyed requests may run elsewhere. After the store came back from a copy, a box that had registered since was on no list, though it lived.

Each box looks for that within 3 s of the return; most boxes of a large fleet would have read the list minutes later.

--- a/box/drain.go
+++ b/box/drain.go
@@ -4,6 +4,9 @@
 package box
 
 import (
+	"math/rand/v2"
+	"time"
+
 	"runridge.example/runridge/coordination/drain"
 	"runridge.example/runridge/protocol/boxwire"
 	zones "runridge.example/runridge/state/drain"
@@ -33,6 +36,15 @@
 	b.routed.drains.Refresh()
 }
 
+// listSpread is the time over which boxes look whether they are still on the platform's list
+// after it came back older: all at once would be more than it answers.
+const listSpread = 3 * time.Second
+
+// platformReturned has the box look for its entry on the platform's list.
+func (b *Box) platformReturned() {
+	time.AfterFunc(rand.N(listSpread), b.members.ReadAgain)
+}
+
 // drainedVersion is that of the drained zones that this box knows.
 func (b *Box) drainedVersion() zones.Version {
 	if b.routed == nil {
--- a/box/routed.go
+++ b/box/routed.go
@@ -90,6 +90,7 @@
 		Source:   r.platform,
 		OnChange: b.setDirectory,
 		OnLost:   b.platformLost,
+		OnReturn: b.platformReturned,
 		Pause:    b.changePause,
 		Self:     b.settings.Name,
 		Peers:    b.others,
--- a/coordination/discover/discover.go
+++ b/coordination/discover/discover.go
@@ -46,6 +46,9 @@
 	// OnLost is called when the platform has forgotten its history, stopped
 	// answering or answers again: what else waits for it may wait in vain.
 	OnLost func()
+	// OnReturn is called when the platform has come back from an older copy, which may
+	// lack what this box wrote.
+	OnReturn func()
 	// Self is this box's name, and Peers takes updates to others; without Peers the
 	// box follows the list alone.
 	Self  string
--- a/coordination/discover/outage.go
+++ b/coordination/discover/outage.go
@@ -69,9 +69,9 @@
 // what it said is taken in.
 func (d *Discoverer) noteReturn(now time.Time, at uint64) {
 	d.mutex.Lock()
-	defer d.mutex.Unlock()
 	before := d.known.At()
 	if !d.known.Known() || position.Era(at) <= position.Era(before) {
+		d.mutex.Unlock()
 		return
 	}
 	d.known = d.known.WithHeld(now.Add(heldFor))
@@ -80,6 +80,10 @@
 	d.cfg.Log.WithFields(log.Fields{
 		"era": position.Era(at), "position": at, "era_before": position.Era(before), "position_before": before,
 	}).Warn("endpoint_list_came_back_older")
+	d.mutex.Unlock()
+	if d.cfg.OnReturn != nil {
+		d.cfg.OnReturn()
+	}
 }
 
 // correct has the directory stand at the position of a list that is not old. One that it
--- a/coordination/member/member.go
+++ b/coordination/member/member.go
@@ -90,7 +90,7 @@
 	reread   chan struct{}
 	snapshot atomic.Pointer[Snapshot]
 	delays   atomic.Pointer[locality.Delays]
-	listed   map[string]adapter.Box
+	listed   listed
 	// changed says that the view has changed since it was last published, and
 	// publishFrom is when it may be published again.
 	changed     bool
@@ -195,14 +195,15 @@
 		paused = view.Distrusts(now)
 		if paused && !was || view.Denied() {
 			m.cfg.Log.Warn("own_pause_noticed")
-			m.readAgain()
+			m.ReadAgain()
 			m.cfg.OnPause()
 		}
 	}
 }
 
-// readAgain has the list read at once: the box may have missed what the others said.
-func (m *Members) readAgain() {
+// ReadAgain has the list read at once: the box may have missed what the others said, or be
+// missing from it.
+func (m *Members) ReadAgain() {
 	select {
 	case m.reread <- struct{}{}:
 	default:
@@ -238,7 +239,7 @@
 		pause := time.Duration(float64(took) / publishShare)
 		m.publishFrom = begin.Add(min(pause, longestPublishPause))
 	}()
-	s := Snapshot{Duty: view.Duty(), All: view.All(), Listed: m.listed}
+	s := Snapshot{Duty: view.Duty(), All: view.All(), Listed: m.listed.boxes}
 	m.snapshot.Store(&s)
 	names := make([]string, 0, len(s.Duty))
 	for _, b := range s.Duty {
@@ -249,9 +250,8 @@
 }
 
 func (m *Members) introduce(view *member.View, now time.Time, list []adapter.Box) {
-	m.listed = make(map[string]adapter.Box, len(list))
+	m.listed = m.listed.with(now, m.cfg.View.Self.Name, list)
 	for _, b := range list {
-		m.listed[b.Name] = b
 		if b.Name == m.cfg.View.Self.Name {
 			continue
 		}
@@ -260,7 +260,7 @@
 	// What was gathered from the list alone goes out with the next change;
 	// the names are kept current here.
 	s := *m.snapshot.Load()
-	s.Listed = m.listed
+	s.Listed = m.listed.boxes
 	m.snapshot.Store(&s)
 }
 
