The soak has endpoints that leave or want rest by their answers, and a store that comes back older

Checks: rest, said_it_leaves; tables are compared by the operator's versions, which /status tells (table_version). What the operator and the endpoints wrote stands in the store again a second after its return.

--- a/bench/soak/check/check.go
+++ b/bench/soak/check/check.go
@@ -115,6 +115,7 @@
 	j.regions()
 	j.cold()
 	j.limits()
+	j.closed()
 }
 
 // PlaceOf is the place of an endpoint: its id without the number of its start.
--- a/bench/soak/check/check_test.go
+++ b/bench/soak/check/check_test.go
@@ -175,6 +175,54 @@
 	}
 }
 
+// closing are an answer of an endpoint that ends 50 ms after the start, and later requests of a box
+// to it.
+func closing(change func(a *standin.Arrival), later ...int) Record {
+	first := ran("box-1.0", 0)
+	change(&first)
+	out := Record{Sight: standin.Sight{Arrivals: []standin.Arrival{first}}}
+	for i, ms := range later {
+		out.Sight.Arrivals = append(out.Sight.Arrivals, ran(fmt.Sprintf("box-1.%d", i+1), ms))
+	}
+	return out
+}
+
+func TestClosedEndpoints(t *testing.T) {
+	leaves := func(a *standin.Arrival) { a.Leaving = true }
+	rests := func(a *standin.Arrival) { a.Fate, a.Rest = standin.TurnedAway, 2*time.Second }
+	cases := map[string]struct {
+		record Record
+		broken string
+	}{
+		"leaves, and gets some in time": {record: closing(leaves, 100, 3000)},
+		"leaves, and gets one later":    {record: closing(leaves, 100, 3100), broken: "said_it_leaves"},
+		"leaves, the box was struck":    {record: besides(closing(leaves, 3100), Fault{Boxes: []string{"box-1"}, From: at(1000), To: at(1500)})},
+		"leaves, sent in time": {record: func() Record {
+			r := closing(leaves, 3100)
+			r.Answers = []Answer{{ID: "box-1.1", Box: "box-1", Begun: at(3000), Ended: at(3200), Status: 200, Whole: true, MaxRuns: 1, Timeout: 5 * time.Second}}
+			return r
+		}()},
+		"leaves, another box sends":       {record: func() Record { r := closing(leaves, 3100); r.Sight.Arrivals[1].ID = "box-2.1"; return r }()},
+		"rests, and gets what was coming": {record: closing(rests, 60, 100, 300, 540)},
+		"rests, and gets two":             {record: closing(rests, 600, 700)},
+		"rests, and gets three":           {record: closing(rests, 600, 700, 2000), broken: "rest"},
+		"has rested":                      {record: closing(rests, 600, 700, 2060)},
+		"rests, the box was struck":       {record: besides(closing(rests, 600, 700, 2000), Fault{Boxes: []string{"box-1"}, From: at(500), To: at(550)})},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			var report Report
+			c.record.Ended = at(60_000)
+			Judge(c.record, bounds(), &report)
+			for _, check := range []string{"said_it_leaves", "rest"} {
+				if broken := report.Broken(check) > 0; broken != (check == c.broken) {
+					t.Errorf("%s broken: %v, want %q alone", check, broken, c.broken)
+				}
+			}
+		})
+	}
+}
+
 // named are runs of so many requests of a box, 40 ms apart, at an endpoint that names a limit.
 func named(count int, limit float64) Record {
 	return Record{Ended: at(60_000), Sight: standin.Sight{Arrivals: many(count, func(a *standin.Arrival) {
--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -46,6 +46,12 @@
 		return r.repeatPoison
 	case schedule.EndpointLimited:
 		return r.nameLimit
+	case schedule.EndpointTired:
+		return r.tireEndpoint
+	case schedule.EndpointParting:
+		return r.partEndpoint
+	case schedule.StoreOlder:
+		return r.returnOlder
 	}
 	if _, ok := manners[k]; ok {
 		return r.behave
@@ -132,6 +138,31 @@
 	sleepUntil(ctx, time.Now().Add(e.For))
 }
 
+const (
+	// leastAway and awaySpread bound how long a store is away that comes back older, and
+	// rewritten is after how long what the operator and the endpoints had written stands there
+	// again.
+	leastAway  = 300 * time.Millisecond
+	awaySpread = 2 * time.Second
+	rewritten  = time.Second
+)
+
+// returnOlder takes the store away for a time and has it come back from a copy.
+func (r *run) returnOlder(ctx context.Context, e schedule.Event) {
+	none := &standin.None{}
+	defer r.strike(check.Fault{Kind: string(e.Kind), Store: true})()
+	_ = r.site.call("CopyStore", standin.None{}, none)
+	away := leastAway + time.Duration(e.Draw%uint64(awaySpread))
+	// What is written until it is away is lost.
+	sleepUntil(ctx, time.Now().Add(e.For-away-rewritten))
+	_ = r.site.call("SetStore", standin.Reset, none)
+	sleepUntil(ctx, time.Now().Add(away))
+	_ = r.site.call("RestoreStore", standin.None{}, none)
+	_ = r.site.call("SetStore", standin.Healthy, none)
+	sleepUntil(ctx, time.Now().Add(rewritten))
+	_ = r.site.call("Rewrite", standin.None{}, none)
+}
+
 // changeTable changes the configuration once.
 func (r *run) changeTable(_ context.Context, e schedule.Event) {
 	err := r.change(func(o *operator) {
--- a/bench/soak/schedule/schedule.go
+++ b/bench/soak/schedule/schedule.go
@@ -42,11 +42,13 @@
 	StoreWritesLate  Kind = "store_writes_late"
 	StoreForgets     Kind = "store_forgets"
 	StoreDeaf        Kind = "store_deaf"
-	TableChanged     Kind = "table_changed"
-	TableGrown       Kind = "table_grown"
-	KeyWithdrawn     Kind = "key_withdrawn"
-	QuotaChanged     Kind = "quota_changed"
-	ZoneDrained      Kind = "zone_drained"
+	// StoreOlder has the store come back from a copy some seconds old.
+	StoreOlder   Kind = "store_comes_back_older"
+	TableChanged Kind = "table_changed"
+	TableGrown   Kind = "table_grown"
+	KeyWithdrawn Kind = "key_withdrawn"
+	QuotaChanged Kind = "quota_changed"
+	ZoneDrained  Kind = "zone_drained"
 )
 
 // Kinds of faults of endpoints.
@@ -65,6 +67,10 @@
 	PoisonRequest Kind = "poison_request"
 	// EndpointLimited names a limit on the requests that it takes from all boxes together.
 	EndpointLimited Kind = "endpoint_names_limit"
+	// EndpointTired turns requests away and asks each box for a rest; EndpointParting says in
+	// its answers that it leaves, later in the store too, and ends.
+	EndpointTired   Kind = "endpoint_wants_rest"
+	EndpointParting Kind = "endpoint_says_it_leaves"
 	// TransfersStalled is of engines that speak the product's own protocol.
 	TransfersStalled Kind = "transfers_stalled"
 )
@@ -115,6 +121,7 @@
 	StoreLosesWrites: {target: OnStore, weight: 1, least: s, longer: 3 * s},
 	StoreWritesLate:  {target: OnStore, weight: 1, least: s, longer: 3 * s},
 	StoreDeaf:        {target: OnStore, weight: 1, least: s, longer: 3 * s},
+	StoreOlder:       {target: OnStore, weight: 6, least: 4 * s, longer: 4 * s},
 	StoreForgets:     {weight: 1},
 	TableChanged:     {weight: 3},
 	TableGrown:       {weight: 1},
@@ -135,15 +142,22 @@
 
 	PoisonRequest:    {weight: 2, least: 10 * s, longer: 4 * s},
 	EndpointLimited:  {target: OnPlace, weight: 6, least: 8 * s, longer: 8 * s},
+	EndpointTired:    {target: OnPlace, weight: 4, least: 4 * s, longer: 8 * s},
+	EndpointParting:  {target: OnPlace, weight: 4, least: 6 * s, longer: 4 * s},
 	TransfersStalled: {weight: 2},
 }
 
+// asked are the kinds that are drawn only if asked for. Those of a later build stand here too:
+// a seed draws what it drew before.
+var asked = []Kind{ZoneDrained, TransfersStalled, PoisonRequest, EndpointLimited, EndpointTired, EndpointParting, StoreOlder}
+
 // ByDefault are the kinds that are drawn for routed services unless others are asked
-// for: all but those that need parts of the product that a deployment switches on.
+// for: all but those that need parts of the product that a deployment switches on, and those
+// that came later.
 func ByDefault() []Kind {
 	var out []Kind
 	for _, k := range All() {
-		if k != ZoneDrained && k != TransfersStalled && k != PoisonRequest && k != EndpointLimited {
+		if !slices.Contains(asked, k) {
 			out = append(out, k)
 		}
 	}
--- a/bench/soak/signals.go
+++ b/bench/soak/signals.go
@@ -163,6 +163,49 @@
 	_ = r.site.call("NameLimit", standin.Act{Place: p.Name}, none)
 }
 
+// restSpread bounds the rest that endpoints ask for, beyond a second.
+const restSpread = 3 * time.Second
+
+// tireEndpoint has an endpoint turn requests away for a time, and ask for a rest with each.
+func (r *run) tireEndpoint(ctx context.Context, e schedule.Event) {
+	p := r.places[e.Place]
+	free, ok := r.take(p.busy)
+	if !ok {
+		return
+	}
+	defer free()
+	defer r.strike(check.Fault{Kind: string(e.Kind), Place: p.Name})()
+	none := &standin.None{}
+	rest := time.Second + time.Duration(e.Draw%uint64(restSpread))
+	_ = r.site.call("Tire", standin.Act{Place: p.Name, Rest: rest}, none)
+	sleepUntil(ctx, time.Now().Add(e.For))
+	_ = r.site.call("Tire", standin.Act{Place: p.Name}, none)
+}
+
+// partingShare is the part of its time after which an endpoint that leaves says so in the store.
+const partingShare = 3
+
+// partEndpoint has an endpoint say in its answers that it leaves, later in the store too, and
+// end; a new one starts in its place.
+func (r *run) partEndpoint(ctx context.Context, e schedule.Event) {
+	p := r.places[e.Place]
+	free, ok := r.take(p.busy)
+	if !ok {
+		return
+	}
+	defer free()
+	defer r.strike(check.Fault{Kind: string(e.Kind), Place: p.Name})()
+	_ = r.site.call("Part", standin.Act{Place: p.Name}, &standin.None{})
+	sleepUntil(ctx, time.Now().Add(e.For/partingShare))
+	var id string
+	_ = r.site.call("Leave", standin.Act{Place: p.Name, On: true}, &id)
+	sleepUntil(ctx, time.Now().Add(e.For-e.For/partingShare))
+	_ = r.site.call("Crash", standin.Act{Place: p.Name}, &id)
+	p.link.SetTarget("")
+	_ = r.site.call("Bury", id, &standin.None{})
+	r.startAt(p, "")
+}
+
 // leaveEndpoint has an endpoint say that it leaves, and take that back.
 func (r *run) leaveEndpoint(ctx context.Context, e schedule.Event) {
 	p := r.places[e.Place]
--- a/bench/soak/watch.go
+++ b/bench/soak/watch.go
@@ -19,6 +19,8 @@
 	box        string
 	asked      time.Time
 	generation uint64
+	// version is the operator's number of the table; 0 is not told.
+	version uint64
 }
 
 const (
@@ -59,7 +61,7 @@
 	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.samples = append(r.samples, sample{box: b.name, asked: asked, generation: s.Generation})
+	r.samples = append(r.samples, sample{box: b.name, asked: asked, generation: s.Generation, version: s.TableVersion})
 }
 
 // tryTable asks on the route of the newest table, so that callers can ask on it
@@ -103,17 +105,31 @@
 	r.judgeBoxes()
 }
 
+// older says whether the box stood on an older table than one: by the operator's versions,
+// where the box knows them.
+func (s sample) older(generation, version uint64) bool {
+	if s.version > 0 && version > 0 {
+		return s.version < version
+	}
+	return s.generation < generation
+}
+
 // judgeTables judges that tables are in force within their bound, and never go back.
 func (r *run) judgeTables() {
 	bound := time.Duration(float64(inForceBound) * r.cfg.Room)
-	highest := make(map[string]uint64)
+	highest := make(map[string]sample)
 	late := make(map[string]map[uint64]bool)
 	for _, s := range r.samples {
-		r.report.Note("table_never_older", s.generation >= highest[s.box], "%s went from %d to %d", s.box, highest[s.box], s.generation)
-		highest[s.box] = max(highest[s.box], s.generation)
+		before, known := highest[s.box]
+		older := known && s.older(before.generation, before.version)
+		r.report.Note("table_never_older", !older, "%s went from %d (version %d) to %d (version %d)",
+			s.box, before.generation, before.version, s.generation, s.version)
+		if !older {
+			highest[s.box] = s
+		}
 		for _, t := range r.tables {
 			heard, could := r.record.HeardSince(s.box, t.at, s.asked)
-			if s.generation >= t.revision || !could || s.asked.Sub(heard) <= bound {
+			if !s.older(t.revision, uint64(t.version)) || !could || s.asked.Sub(heard) <= bound {
 				continue
 			}
 			if late[s.box] == nil {
--- a/box/status.go
+++ b/box/status.go
@@ -24,6 +24,7 @@
 		Incarnation:     b.options.Incarnation,
 		Ready:           b.Ready(),
 		Generation:      following.Generation,
+		TableVersion:    following.Version,
 		InForceSince:    following.Since,
 		PlatformHeardMS: -1,
 		Watching:        following.Watching,
--- a/cmd/runridge-bench/soak.go
+++ b/cmd/runridge-bench/soak.go
@@ -45,6 +45,8 @@
 	Regions  bool     `long:"regions" description:"bound a route and an account to a region"`
 	Poison   bool     `long:"poison" description:"requests that end each endpoint that runs them come again"`
 	Limits   bool     `long:"limits" description:"endpoints name limits on the requests that they take"`
+	Closed   bool     `long:"closed" description:"endpoints say that they leave, or want rest, in their answers"`
+	Older    bool     `long:"older" description:"the store comes back from older copies"`
 	Own      bool     `long:"completions" description:"boxes serve the product's own interface for completions"`
 	File     string   `long:"file" description:"file of runs, one line of options each, in place of --seed and --seeds"`
 	Jobs     int      `long:"jobs" default:"1" description:"runs at once"`
@@ -259,6 +261,12 @@
 		if c.Limits {
 			out = append(out, schedule.EndpointLimited)
 		}
+		if c.Closed {
+			out = append(out, schedule.EndpointTired, schedule.EndpointParting)
+		}
+		if c.Older {
+			out = append(out, schedule.StoreOlder)
+		}
 	}
 	return out
 }
--- a/coordination/follow/follow.go
+++ b/coordination/follow/follow.go
@@ -145,6 +145,8 @@
 // Status is what operators are told.
 type Status struct {
 	Generation uint64
+	// Version is the operator's own number of the table; 0 is none.
+	Version uint64
 	// Since is when the table came into force here.
 	Since time.Time
 	// PlatformHeard is when the platform last answered this box.
@@ -163,6 +165,7 @@
 	defer f.mutex.Unlock()
 	return Status{
 		Generation:    f.table.Generation,
+		Version:       f.table.Version,
 		Since:         f.since,
 		PlatformHeard: f.heard,
 		Watching:      watching,
--- a/transport/operatorhttp/operatorhttp.go
+++ b/transport/operatorhttp/operatorhttp.go
@@ -41,7 +41,9 @@
 	Ready       bool              `json:"ready"`
 	// Generation is the table in force, since when, and how long ago the
 	// platform was last heard by this box; -1 is never.
-	Generation      uint64    `json:"generation"`
+	Generation uint64 `json:"generation"`
+	// TableVersion is the operator's own number of the table; 0 is none.
+	TableVersion    uint64    `json:"table_version,omitempty"`
 	InForceSince    time.Time `json:"in_force_since"`
 	PlatformHeardMS int64     `json:"platform_heard_ms"`
 	Watching        bool      `json:"watching"`
