--- a/box/status.go
+++ b/box/status.go
@@ -37,6 +37,9 @@
 		TableAgeMS:      ageMS(b.follower.Age()),
 	}
 	s.Build, s.Wire, s.Peers, s.Unknown = version.Version, uint16(boxwire.VersionNow), b.peerVersions(), b.unknownMessages()
+	for _, c := range b.notices.Closed() {
+		s.Closed = append(s.Closed, operatorhttp.ClosedEndpoint{Endpoint: c.Endpoint, Leaving: c.Leaving, RestMS: c.Rest.Milliseconds()})
+	}
 	s.PlatformBytesSent, s.PlatformBytesReceived = b.platformTraffic()
 	for _, f := range b.net.Flows() {
 		s.Flows = append(s.Flows, operatorhttp.Flow{
--- a/transport/operatorhttp/operatorhttp.go
+++ b/transport/operatorhttp/operatorhttp.go
@@ -26,6 +26,14 @@
 	PathMetrics = "/metrics"
 )
 
+// ClosedEndpoint is an endpoint that leaves, or wants rest from this box for some
+// milliseconds yet.
+type ClosedEndpoint struct {
+	Endpoint string `json:"endpoint"`
+	Leaving  bool   `json:"leaving,omitempty"`
+	RestMS   int64  `json:"rest_ms,omitempty"`
+}
+
 // Status is what a box says of itself.
 type Status struct {
 	Box string `json:"box"`
@@ -51,11 +59,13 @@
 	Rejected uint64 `json:"rejected,omitempty"`
 	Active   int    `json:"active"`
 	// Releasing is the holds not yet acknowledged as free.
-	Releasing     int      `json:"releasing"`
-	Members       []Member `json:"members"`
-	BytesSent     uint64   `json:"bytes_sent"`
-	BytesReceived uint64   `json:"bytes_received"`
-	Messages      uint64   `json:"messages"`
+	Releasing int      `json:"releasing"`
+	Members   []Member `json:"members"`
+	// Closed are the endpoints that this box sends nothing, by what they told it.
+	Closed        []ClosedEndpoint `json:"closed,omitempty"`
+	BytesSent     uint64           `json:"bytes_sent"`
+	BytesReceived uint64           `json:"bytes_received"`
+	Messages      uint64           `json:"messages"`
 	// PlatformBytesSent and PlatformBytesReceived are the bytes of calls to the
 	// platform.
 	PlatformBytesSent     uint64 `json:"platform_bytes_sent,omitempty"`
