--- a/coordination/dispatch/paced.go
+++ b/coordination/dispatch/paced.go
@@ -10,17 +10,13 @@
 	"runridge.example/runridge/state/lifecycle"
 )
 
-// Reasons for which an order is not sent.
-const (
-	reasonNotCounted = "endpoint_not_counted"
-	reasonLeaving    = "endpoint_leaving"
-	reasonResting    = "endpoint_resting"
-)
+// reasonNotCounted is why an order is not sent that no home has counted for its engine.
+const reasonNotCounted = "endpoint_not_counted"
 
-// withholdPrefill says why an engine may not be ordered the prefill now: it leaves, it
-// wants rest, or it names a limit and no home has counted the attempt for it. Empty is that it may.
+// withholdPrefill says why an engine may not be ordered the prefill now: it leaves, it wants
+// rest, or it names a limit and no home has counted the attempt for it. Empty is that it may.
 func (v *driver) withholdPrefill(engine string) string {
-	if reason := v.closed(engine); reason != "" {
+	if reason := v.d.cfg.Notices.Standing(engine).Reason(); reason != "" {
 		return reason
 	}
 	if v.prefillCounted(engine) {
@@ -36,7 +32,7 @@
 // withholdDecode says the same of an order to the attempt's decode engine. Only the first one
 // counts, so it notes that the engine is reached; what it has begun goes on.
 func (v *driver) withholdDecode(engine string) string {
-	if reason := v.closed(engine); reason != "" && !v.reached {
+	if reason := v.d.cfg.Notices.Standing(engine).Reason(); reason != "" && !v.reached {
 		return reason
 	}
 	if v.decodeCounted(engine) {
@@ -45,18 +41,6 @@
 	return reasonNotCounted
 }
 
-// closed says why an engine gets nothing by what it told this box; empty is that it may.
-func (v *driver) closed(engine string) string {
-	switch s := v.d.cfg.Notices.Standing(engine); {
-	case s.Leaving:
-		return reasonLeaving
-	case s.Rest > 0:
-		return reasonResting
-	default:
-		return ""
-	}
-}
-
 func (v *driver) decodeCounted(engine string) bool {
 	may := v.reached || !v.counted.Decode && !v.d.cfg.Notices.Limited(engine) || v.counted.DecodeAt(time.Now())
 	v.reached = v.reached || may
--- a/coordination/notice/notice.go
+++ b/coordination/notice/notice.go
@@ -79,7 +79,25 @@
 }
 
 // Open says whether the box may send.
-func (s Standing) Open() bool { return !s.Leaving && s.Rest <= 0 }
+func (s Standing) Open() bool { return s.Reason() == "" }
+
+// Reasons for which this box does not send to an endpoint that serves others.
+const (
+	ReasonLeaving = "endpoint_leaving"
+	ReasonResting = "endpoint_resting"
+)
+
+// Reason is why the box may not send; empty is that it may.
+func (s Standing) Reason() string {
+	switch {
+	case s.Leaving:
+		return ReasonLeaving
+	case s.Rest > 0:
+		return ReasonResting
+	default:
+		return ""
+	}
+}
 
 // Closed is an endpoint that this box may not send to.
 type Closed struct {
--- a/coordination/relay/where.go
+++ b/coordination/relay/where.go
@@ -19,14 +19,12 @@
 	reasonLeft      = "endpoint_left"
 	reasonDrained   = "zone_drained"
 	reasonForbidden = "region_not_allowed"
-	reasonLeaving   = "endpoint_leaving"
-	reasonResting   = "endpoint_resting"
 )
 
 // isWithheld says whether a request that does not go to an endpoint for a reason is kept from
 // it by this box alone: the endpoint serves others, and has not failed.
 func isWithheld(reason string) bool {
-	return reason == reasonLeaving || reason == reasonResting || reason == reasonNotCounted
+	return reason == notice.ReasonLeaving || reason == notice.ReasonResting || reason == reasonNotCounted
 }
 
 // bind looks up in which regions the request may be served: both its route and its
@@ -60,23 +58,8 @@
 	case !w.Usable():
 		return reasonLeft, false
 	}
-	if reason := closedReason(v.r.cfg.Notices.Standing(w.ID)); reason != "" {
-		return reason, false
-	}
-	return "", true
-}
-
-// closedReason is why an endpoint gets nothing by what it told this box; empty is that it
-// may.
-func closedReason(s notice.Standing) string {
-	switch {
-	case s.Leaving:
-		return reasonLeaving
-	case s.Rest > 0:
-		return reasonResting
-	default:
-		return ""
-	}
+	reason = v.r.cfg.Notices.Standing(w.ID).Reason()
+	return reason, reason == ""
 }
 
 // endpoint finds an endpoint that may get the request now; without one it says why.
--- a/tests/mutants/notice.go
+++ b/tests/mutants/notice.go
@@ -5,7 +5,6 @@
 
 const (
 	noticeFile    = "coordination/notice/notice.go"
-	relayWhere    = "coordination/relay/where.go"
 	noticeTests   = "./coordination/notice"
 	scheduleLeave = "state/schedule/leaving.go"
 )
@@ -25,8 +24,8 @@
 		old: "		return k.closed[other]\n", fault: "		return !k.closed[other]\n",
 	},
 	{
-		name: "closed_endpoints_asked_for", file: relayWhere, pkg: relayTests, args: only("TestNowhereToGoIsRefusedAtOnce"),
-		old: "	case s.Rest > 0:\n		return reasonResting\n", fault: "",
+		name: "closed_endpoints_asked_for", file: noticeFile, pkg: relayTests, args: only("TestNowhereToGoIsRefusedAtOnce"),
+		old: "	case s.Rest > 0:\n		return ReasonResting\n", fault: "",
 	},
 	{
 		name: "engines_that_leave_granted_to_others", file: scheduleLeave, pkg: scheduleTests, args: only("TestEnginesThatToldABoxThatTheyLeave"),
