--- a/tests/mutants/accounts.go
+++ b/tests/mutants/accounts.go
@@ -17,7 +17,7 @@
 var stageMutants = []mutant{
 	{
 		name: "lease_not_waited_out", file: leaseFile, pkg: stagesTests, args: only("TestOrders"),
-		old: "wait := 2*r.Lease + r.Thaw", fault: "wait := 0 * (2*r.Lease + r.Thaw)",
+		old: "return 2*r.Lease + r.Thaw + callTimeout", fault: "return 0*(2*r.Lease+r.Thaw) + callTimeout",
 	},
 	{
 		name: "own_lease_taken_for_waited_out", file: leaseFile, pkg: stagesTests, args: only("TestOrders"),
@@ -61,7 +61,7 @@
 	},
 	{
 		name: "unknown_key_refused_for_good", file: "coordination/follow/confirm.go", pkg: routedTests, args: only("TestUnknownKeyOfABoxThatIsBehind"),
-		old: "return f.others <= f.table.Generation && age", fault: "return age",
+		old: "return !f.others.After(f.table.Stamp()) && age", fault: "return age",
 	},
 	{
 		name: "two_keys_taken", file: "transport/relayhttp/credential.go", pkg: routedTests, args: only("TestKeys"),
--- a/tests/mutants/main.go
+++ b/tests/mutants/main.go
@@ -54,7 +54,7 @@
 
 // all are the deliberate faults.
 func all() []mutant {
-	return slices.Concat(mutants, routedMutants, accountMutants, stageMutants, sharedMutants, coldMutants, poisonMutants, limitMutants, noticeMutants)
+	return slices.Concat(mutants, routedMutants, accountMutants, stageMutants, sharedMutants, coldMutants, poisonMutants, limitMutants, noticeMutants, olderMutants)
 }
 
 func run(root string) error {
