--- a/coordination/notice/notice.go
+++ b/coordination/notice/notice.go
@@ -218,18 +218,38 @@
 		return
 	}
 	now := k.cfg.Now()
-	k.mutex.Lock()
-	defer k.mutex.Unlock()
 	for _, l := range limits {
-		e := k.known[l.Engine]
-		if at := now.Add(-l.Age); at.After(e.limitAt) {
-			e.limit, e.limitAt = l.Limit, at
-			e.heard = at
-			k.put(l.Engine, e)
+		before, later := k.hear(now, l)
+		if !later || before == l.Limit {
+			continue
 		}
+		k.cfg.Log.WithFields(log.Fields{
+			log.FieldEngine: l.Engine,
+			"age_ms":        l.Age.Milliseconds(),
+			"named":         l.Limit.Named,
+			"per_second":    l.Limit.PerSecond,
+			"named_before":  before.Named,
+			"before":        before.PerSecond,
+		}).Info("endpoint_limit_heard")
 	}
 }
 
+// hear takes in what a home knows of one limit. It returns what was known before, and whether
+// the home knows it later.
+func (k *Keeper) hear(now time.Time, l schedule.EngineLimit) (before pace.Limit, later bool) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	e := k.known[l.Engine]
+	at := now.Add(-l.Age)
+	if !at.After(e.limitAt) {
+		return e.limit, false
+	}
+	before = e.limit
+	e.limit, e.limitAt, e.heard = l.Limit, at, at
+	k.put(l.Engine, e)
+	return before, true
+}
+
 // maxTold bounds the limits that go with one question.
 const maxTold = 16
 
--- a/coordination/notice/notice_test.go
+++ b/coordination/notice/notice_test.go
@@ -4,7 +4,10 @@
 package notice
 
 import (
+	"bytes"
 	"fmt"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -80,6 +83,52 @@
 	}
 }
 
+// TestEachChangeOfALimitIsLogged has a box hear of a limit from a home before an answer names it.
+func TestEachChangeOfALimitIsLogged(t *testing.T) {
+	told := func(k *Keeper, l pace.Limit) {
+		k.Answered(Answered{Endpoint: "e", Notice: pace.Notice{Limit: l}, Served: true})
+	}
+	heard := func(k *Keeper, l pace.Limit) { k.Heard([]schedule.EngineLimit{{Engine: "e", Limit: l}}) }
+	cases := map[string]struct {
+		happens []func(k *Keeper, l pace.Limit)
+		want    []string
+	}{
+		"told, then heard": {happens: []func(*Keeper, pace.Limit){told, heard}, want: []string{"endpoint_limit_told"}},
+		"heard, then told": {happens: []func(*Keeper, pace.Limit){heard, told}, want: []string{"endpoint_limit_heard"}},
+		"heard twice":      {happens: []func(*Keeper, pace.Limit){heard, heard}, want: []string{"endpoint_limit_heard"}},
+		"told twice":       {happens: []func(*Keeper, pace.Limit){told, told}, want: []string{"endpoint_limit_told"}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			var out bytes.Buffer
+			logger, err := log.New(log.Config{Level: "info", Output: &out})
+			if err != nil {
+				t.Fatal(err)
+			}
+			now := time.Unix(1000, 0)
+			k := New(Config{Log: logger, Now: func() time.Time { now = now.Add(time.Second); return now }})
+			for _, happens := range c.happens {
+				happens(k, three)
+			}
+			if got := messages(out.String()); !slices.Equal(got, c.want) {
+				t.Errorf("logged %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+// messages are the names of the lines of a log.
+func messages(text string) []string {
+	var out []string
+	for line := range strings.Lines(text) {
+		if _, rest, found := strings.Cut(line, "msg="); found {
+			name, _, _ := strings.Cut(rest, " ")
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
 // step is an answer, or a passage of time.
 type step struct {
 	notice pace.Notice
