A request looks once whether endpoints are closed to its box

Cause: choosing a group asked for each group of the service which endpoints leave or rest, a list that is copied and sorted under a lock. It is asked once a choice now, with the directory that the choice looks at. Behaviour as before: TestEndpointsThat..., TestNowhereToGoIsRefusedAtOnce, OlderStore, drained zones and limits green under the race detector.

--- a/coordination/relay/refuse.go
+++ b/coordination/relay/refuse.go
@@ -115,8 +115,9 @@
 		return v.refusals[0].group
 	}
 	known := v.r.cfg.Directory.Directory()
+	closed := v.anyClosed(known)
 	places := slices.DeleteFunc(slices.Clone(v.r.cfg.Homes.PlacesOf(v.service.Name)), func(p group.Place) bool {
-		return slices.Contains(v.without, p.Key) || !v.mayAsk(known, p)
+		return slices.Contains(v.without, p.Key) || !v.mayAsk(known, p, closed)
 	})
 	full := make([]string, 0, len(v.refusals))
 	for _, f := range v.refusals {
--- a/coordination/relay/where.go
+++ b/coordination/relay/where.go
@@ -98,12 +98,13 @@
 	return lifecycle.Plan{Mode: lifecycle.Recompute, Decode: fit[int(v.id.Sequence)%len(fit)]}, ""
 }
 
-// mayAsk says whether a group may have an endpoint for the request.
-func (v *run) mayAsk(known directory.Directory, p group.Place) bool {
+// mayAsk says whether a group may have an endpoint for the request. Closed says whether any
+// endpoint of its service is closed to this box.
+func (v *run) mayAsk(known directory.Directory, p group.Place, closed bool) bool {
 	if p.Zone != "" && (!v.mayGo(p.Zone) || known.ZoneDrained(p.Zone)) {
 		return false
 	}
-	if !v.anyClosed() && (p.Zone != "" || !v.allowed.Bound()) {
+	if !closed && (p.Zone != "" || !v.allowed.Bound()) {
 		return true
 	}
 	return slices.ContainsFunc(v.endpointsOf(known, p), func(w directory.Status) bool {
@@ -114,8 +115,7 @@
 
 // anyClosed says whether an endpoint of the request's service gets nothing by what it told
 // this box.
-func (v *run) anyClosed() bool {
-	known := v.r.cfg.Directory.Directory()
+func (v *run) anyClosed(known directory.Directory) bool {
 	return slices.ContainsFunc(v.r.cfg.Notices.Closed(), func(c notice.Closed) bool {
 		w, found := known.Status(c.Endpoint)
 		return found && w.Service == v.service.Name
