The soak's faults of one place share how they take it

behave, nameLimit, tireEndpoint and partEndpoint each took the place, noted the fault and gave both back: strikePlace does.

--- a/bench/soak/signals.go
+++ b/bench/soak/signals.go
@@ -125,8 +125,8 @@
 	schedule.EndpointTwice: standin.Extra,
 }
 
-// behave has an endpoint answer in some manner for a time.
-func (r *run) behave(ctx context.Context, e schedule.Event) {
+// strikePlace has an event's place for one fault, unless another one has it.
+func (r *run) strikePlace(e schedule.Event, do func(p *place)) {
 	p := r.places[e.Place]
 	free, ok := r.take(p.busy)
 	if !ok {
@@ -134,10 +134,17 @@
 	}
 	defer free()
 	defer r.strike(check.Fault{Kind: string(e.Kind), Place: p.Name})()
-	none := &standin.None{}
-	_ = r.site.call("Behave", standin.Act{Place: p.Name, Manner: manners[e.Kind]}, none)
-	sleepUntil(ctx, time.Now().Add(e.For))
-	_ = r.site.call("Behave", standin.Act{Place: p.Name, Manner: standin.Well}, none)
+	do(p)
+}
+
+// behave has an endpoint answer in some manner for a time.
+func (r *run) behave(ctx context.Context, e schedule.Event) {
+	r.strikePlace(e, func(p *place) {
+		none := &standin.None{}
+		_ = r.site.call("Behave", standin.Act{Place: p.Name, Manner: manners[e.Kind]}, none)
+		sleepUntil(ctx, time.Now().Add(e.For))
+		_ = r.site.call("Behave", standin.Act{Place: p.Name, Manner: standin.Well}, none)
+	})
 }
 
 const (
@@ -148,19 +155,14 @@
 
 // nameLimit has an endpoint name a limit for a time, and another one for the rest of it.
 func (r *run) nameLimit(ctx context.Context, e schedule.Event) {
-	p := r.places[e.Place]
-	free, ok := r.take(p.busy)
-	if !ok {
-		return
-	}
-	defer free()
-	defer r.strike(check.Fault{Kind: string(e.Kind), Place: p.Name})()
-	none := &standin.None{}
-	for _, limit := range []uint64{e.Draw % limitSpread, e.Draw / limitSpread % limitSpread} {
-		_ = r.site.call("NameLimit", standin.Act{Place: p.Name, On: true, Limit: leastLimit + float64(limit)}, none)
-		sleepUntil(ctx, time.Now().Add(e.For/2))
-	}
-	_ = r.site.call("NameLimit", standin.Act{Place: p.Name}, none)
+	r.strikePlace(e, func(p *place) {
+		none := &standin.None{}
+		for _, limit := range []uint64{e.Draw % limitSpread, e.Draw / limitSpread % limitSpread} {
+			_ = r.site.call("NameLimit", standin.Act{Place: p.Name, On: true, Limit: leastLimit + float64(limit)}, none)
+			sleepUntil(ctx, time.Now().Add(e.For/2))
+		}
+		_ = r.site.call("NameLimit", standin.Act{Place: p.Name}, none)
+	})
 }
 
 // restSpread bounds the rest that endpoints ask for, beyond a second.
@@ -168,18 +170,13 @@
 
 // tireEndpoint has an endpoint turn requests away for a time, and ask for a rest with each.
 func (r *run) tireEndpoint(ctx context.Context, e schedule.Event) {
-	p := r.places[e.Place]
-	free, ok := r.take(p.busy)
-	if !ok {
-		return
-	}
-	defer free()
-	defer r.strike(check.Fault{Kind: string(e.Kind), Place: p.Name})()
-	none := &standin.None{}
-	rest := time.Second + time.Duration(e.Draw%uint64(restSpread))
-	_ = r.site.call("Tire", standin.Act{Place: p.Name, Rest: rest}, none)
-	sleepUntil(ctx, time.Now().Add(e.For))
-	_ = r.site.call("Tire", standin.Act{Place: p.Name}, none)
+	r.strikePlace(e, func(p *place) {
+		none := &standin.None{}
+		rest := time.Second + time.Duration(e.Draw%uint64(restSpread))
+		_ = r.site.call("Tire", standin.Act{Place: p.Name, Rest: rest}, none)
+		sleepUntil(ctx, time.Now().Add(e.For))
+		_ = r.site.call("Tire", standin.Act{Place: p.Name}, none)
+	})
 }
 
 // partingShare is the part of its time after which an endpoint that leaves says so in the store.
@@ -188,22 +185,17 @@
 // partEndpoint has an endpoint say in its answers that it leaves, later in the store too, and
 // end; a new one starts in its place.
 func (r *run) partEndpoint(ctx context.Context, e schedule.Event) {
-	p := r.places[e.Place]
-	free, ok := r.take(p.busy)
-	if !ok {
-		return
-	}
-	defer free()
-	defer r.strike(check.Fault{Kind: string(e.Kind), Place: p.Name})()
-	_ = r.site.call("Part", standin.Act{Place: p.Name}, &standin.None{})
-	sleepUntil(ctx, time.Now().Add(e.For/partingShare))
-	var id string
-	_ = r.site.call("Leave", standin.Act{Place: p.Name, On: true}, &id)
-	sleepUntil(ctx, time.Now().Add(e.For-e.For/partingShare))
-	_ = r.site.call("Crash", standin.Act{Place: p.Name}, &id)
-	p.link.SetTarget("")
-	_ = r.site.call("Bury", id, &standin.None{})
-	r.startAt(p, "")
+	r.strikePlace(e, func(p *place) {
+		_ = r.site.call("Part", standin.Act{Place: p.Name}, &standin.None{})
+		sleepUntil(ctx, time.Now().Add(e.For/partingShare))
+		var id string
+		_ = r.site.call("Leave", standin.Act{Place: p.Name, On: true}, &id)
+		sleepUntil(ctx, time.Now().Add(e.For-e.For/partingShare))
+		_ = r.site.call("Crash", standin.Act{Place: p.Name}, &id)
+		p.link.SetTarget("")
+		_ = r.site.call("Bury", id, &standin.None{})
+		r.startAt(p, "")
+	})
 }
 
 // leaveEndpoint has an endpoint say that it leaves, and take that back.
