A question looks up its group's limits only while an endpoint has said something

Now the record is asked first. The two tests of the product's own interface that have callers send until they are stopped share press.

--- a/coordination/home/router.go
+++ b/coordination/home/router.go
@@ -276,6 +276,9 @@
 
 // limitsOf is what this box knows of the limits that a group's endpoints name.
 func (r *Router) limitsOf(key string) []schedule.EngineLimit {
+	if !r.notices.Any() {
+		return nil
+	}
 	g, ok := r.group(key)
 	if !ok {
 		return nil
--- a/coordination/notice/notice.go
+++ b/coordination/notice/notice.go
@@ -250,6 +250,16 @@
 	return before, true
 }
 
+// Any says whether anything is known of any endpoint.
+func (k *Keeper) Any() bool {
+	if k == nil {
+		return false
+	}
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	return len(k.known) > 0
+}
+
 // maxTold bounds the limits that go with one question.
 const maxTold = 16
 
@@ -261,9 +271,6 @@
 	}
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	if len(k.known) == 0 {
-		return nil
-	}
 	now := k.cfg.Now()
 	var out []schedule.EngineLimit
 	for _, m := range endpoints {
--- a/tests/integration/limit_test.go
+++ b/tests/integration/limit_test.go
@@ -44,6 +44,25 @@
 	}
 }
 
+// press has callers send to boxes until it is stopped.
+func press(t *testing.T, send func(ctx context.Context, t *testing.T, m *fleet.Member), boxes ...*fleet.Member) (stop func()) {
+	ctx, cancel := context.WithCancel(t.Context())
+	var sending sync.WaitGroup
+	for _, m := range boxes {
+		for range callers {
+			sending.Go(func() {
+				for ctx.Err() == nil {
+					send(context.WithoutCancel(ctx), t, m)
+				}
+			})
+		}
+	}
+	return func() {
+		cancel()
+		sending.Wait()
+	}
+}
+
 // TestNamedLimitOnOwnInterface is tests/routed's TestNamedLimit on the product's own interface.
 func TestNamedLimitOnOwnInterface(t *testing.T) {
 	caller := bench.NewCaller()
@@ -76,18 +95,7 @@
 						limited[id] = e.Arrivals()
 					}
 				}
-				ctx, cancel := context.WithCancel(t.Context())
-				defer cancel()
-				var sending sync.WaitGroup
-				for _, m := range f.Boxes[:2] {
-					for range callers {
-						sending.Go(func() {
-							for ctx.Err() == nil {
-								c.send(context.WithoutCancel(ctx), t, m)
-							}
-						})
-					}
-				}
+				stop := press(t, c.send, f.Boxes[:2]...)
 				time.Sleep(toldTime)
 				from := time.Now()
 				time.Sleep(limitWindow / 2)
@@ -95,8 +103,7 @@
 					f.Boxes[2].Stop()
 				}
 				time.Sleep(limitWindow)
-				cancel()
-				sending.Wait()
+				stop()
 				for id, log := range limited {
 					fullest, all := log.Fullest(limitWindow, from), log.Since(from)
 					t.Logf("%s: %d in the fullest window, %d in all", id, fullest, all)
--- a/tests/integration/notice_test.go
+++ b/tests/integration/notice_test.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"sync"
 	"testing"
 	"time"
 
@@ -68,21 +67,11 @@
 						e.Leave()
 					}
 				}
-				ctx, cancel := context.WithCancel(t.Context())
-				defer cancel()
-				var sending sync.WaitGroup
-				for range callers {
-					sending.Go(func() {
-						for ctx.Err() == nil {
-							c.send(context.WithoutCancel(ctx), t, f.Boxes[0])
-						}
-					})
-				}
+				stop := press(t, c.send, f.Boxes[0])
 				time.Sleep(toldTime)
 				told := time.Now()
 				time.Sleep(2 * rest)
-				cancel()
-				sending.Wait()
+				stop()
 				for id, e := range closed {
 					after, during := e.Arrivals().Since(told), e.Arrivals().DuringRests(restHeard)
 					t.Logf("%s: %d after the box was told, at most %d in one of %d rests", id, after, during, e.Arrivals().Rests())
