Logs name the table that handled a request, and what keeps a table from coming into force

Hypotheses about tables that come late could not be told apart for one request: request_ended named no table, a 404 no host, a watch that waits out its pause said nothing, and home_refused did not say how old its estimate is.

request_ended now has generation and version, and, if another box had named a newer table, that one and the time since the last confirmation. platform_watch_failed is written for each pause, with its length, table_in_force says how long the box knew of a newer one, home_refused how long ago a request last ended well.

No decision is changed.

--- a/box/routed.go
+++ b/box/routed.go
@@ -135,7 +135,7 @@
 		Quotas:       r.quotas,
 		Quarantine:   b.quarantine,
 		Ready:        r.drains.Ready,
-		TableCurrent: b.follower.Current,
+		Tables:       b.follower,
 		ParsePrefill: names.ParsePrefill,
 		NextID:       b.dispatch.NextID,
 		Boxes:        func() int { return b.knownBoxes() + spareBoxes },
--- a/coordination/follow/confirm.go
+++ b/coordination/follow/confirm.go
@@ -55,6 +55,13 @@
 	return time.Since(f.confirmed)
 }
 
+// NewestNamed returns the stamp of the newest table that another box has named.
+func (f *Follower) NewestNamed() table.Stamp {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.newestNamed
+}
+
 // Current reports whether the table in force can be taken for the newest: no other box has
 // named a newer one, and the last confirmation is recent.
 func (f *Follower) Current() bool {
--- a/coordination/follow/follow.go
+++ b/coordination/follow/follow.go
@@ -206,6 +206,18 @@
 	}).Info("table_older")
 }
 
+// logInForce logs that a table came into force, and how long this box has known that another box
+// has a newer table than its former one. The caller holds the mutex.
+func (f *Follower) logInForce(t table.Table) {
+	behind := time.Duration(0)
+	if !f.behindSince.IsZero() {
+		behind = time.Since(f.behindSince)
+	}
+	f.cfg.Log.WithFields(log.Fields{
+		log.FieldGeneration: t.Generation, "version": t.Version, "behind_ms": behind.Milliseconds(),
+	}).Info("table_in_force")
+}
+
 // apply puts a table into force if it is newer, and returns the change and whether it did.
 // The caller holds the mutex.
 func (f *Follower) apply(t table.Table) (table.Delta, bool) {
@@ -221,7 +233,7 @@
 	}
 	f.table = t
 	f.since = time.Now()
-	f.cfg.Log.WithFields(log.Fields{log.FieldGeneration: t.Generation, "version": t.Version}).Info("table_in_force")
+	f.logInForce(t)
 	for _, fn := range f.observers {
 		fn(t)
 	}
--- a/coordination/follow/read.go
+++ b/coordination/follow/read.go
@@ -55,7 +55,7 @@
 		next, err := f.readOnce(ctx, version)
 		if errors.Is(err, adapter.ErrHistoryGone) || errors.Is(err, errRefresh) {
 			version = 0
-			sleep.For(ctx, pauses.NextBackOff())
+			f.pause(ctx, pauses.NextBackOff(), err)
 			continue
 		}
 		if time.Since(start) > f.cfg.Settle {
@@ -73,12 +73,20 @@
 		if ctx.Err() != nil {
 			break
 		}
-		f.cfg.Log.WithError(err).Warn("platform_watch_failed")
-		sleep.For(ctx, pauses.NextBackOff())
+		f.pause(ctx, pauses.NextBackOff(), err)
 	}
 	return nil
 }
 
+// pause waits after a read that ended with an error.
+func (f *Follower) pause(ctx context.Context, length time.Duration, err error) {
+	f.cfg.Log.WithFields(log.Fields{
+		log.FieldGeneration: f.Table().Generation,
+		"pause_ms":          length.Milliseconds(),
+	}).WithError(err).Warn("platform_watch_failed")
+	sleep.For(ctx, length)
+}
+
 // errRefresh is returned for a wait that a refresh ended, so that the object is read
 // again.
 var errRefresh = errors.New("the object is read anew")
--- a/coordination/home/answer.go
+++ b/coordination/home/answer.go
@@ -70,6 +70,7 @@
 		"limited_engines":   r.Inputs.Limited,
 		"idle_ms":           r.Inputs.IdleLatency.Milliseconds(),
 		"wait_ms":           r.Inputs.Wait.Milliseconds(),
+		"learned_ms_ago":    r.Inputs.SinceLearned.Milliseconds(),
 		"left_ms":           r.Inputs.Remaining.Milliseconds(),
 		"retry_ms":          r.RetryAfter.Milliseconds(),
 		"spill":             r.Ask.Spill,
--- a/coordination/relay/account.go
+++ b/coordination/relay/account.go
@@ -61,7 +61,7 @@
 	if !h.request.Credential.Valid {
 		reason = reasonNoKey
 	}
-	if h.request.Credential.Valid && h.relay.cfg.TableCurrent != nil && !h.relay.cfg.TableCurrent() {
+	if h.request.Credential.Valid && h.relay.cfg.Tables != nil && !h.relay.cfg.Tables.Current() {
 		h.refuse(http.StatusServiceUnavailable, reasonKeyUnconfirmed, unconfirmedRetry)
 		return false
 	}
--- a/coordination/relay/record.go
+++ b/coordination/relay/record.go
@@ -11,6 +11,7 @@
 	"runridge.example/runridge/state/lifecycle"
 	"runridge.example/runridge/state/locality"
 	"runridge.example/runridge/state/schedule"
+	"runridge.example/runridge/state/table"
 )
 
 // recordEnd logs and counts the end of the request.
@@ -27,6 +28,7 @@
 		"runs":           h.runs,
 		"ms":             h.relay.cfg.Now().Sub(h.request.Arrived).Milliseconds(),
 	}
+	h.addTable(fields)
 	if h.account != nil {
 		fields["account"] = h.account.Name
 		fields["charged"] = h.charged
@@ -50,6 +52,23 @@
 	h.relay.cfg.Log.WithFields(fields).Info("request_ended")
 }
 
+// addTable adds the table that the request was routed by. If another box has named a newer one, it
+// adds that and the time since this one was last confirmed as the newest.
+func (h *handler) addTable(fields log.Fields) {
+	fields[log.FieldGeneration], fields["version"] = h.generation, h.version
+	if h.route.Name == "" {
+		fields["host"] = h.request.Host
+	}
+	if h.relay.cfg.Tables == nil {
+		return
+	}
+	newest := h.relay.cfg.Tables.NewestNamed()
+	if newest.NewerThan(table.Stamp{Version: h.version, Generation: h.generation}) {
+		fields["newest_generation"], fields["newest_version"] = newest.Generation, newest.Version
+		fields["table_age_ms"] = h.relay.cfg.Tables.Age().Milliseconds()
+	}
+}
+
 // recordMetrics counts the end of the request.
 func (h *handler) recordMetrics(outcome, reason string) {
 	if h.relay.cfg.Metrics == nil {
--- a/coordination/relay/relay.go
+++ b/coordination/relay/relay.go
@@ -54,6 +54,16 @@
 	Refund(account string, cost float64)
 }
 
+// Tables reports how recent the table in force is.
+type Tables interface {
+	// Current reports whether it can be taken for the newest.
+	Current() bool
+	// Age returns how long ago it was last confirmed as the newest.
+	Age() time.Duration
+	// NewestNamed returns the stamp of the newest table that another box has named.
+	NewestNamed() table.Stamp
+}
+
 // Metrics records metrics of requests.
 type Metrics interface {
 	RequestEnded(e metric.RequestSummary)
@@ -87,8 +97,8 @@
 	Quarantine *quarantine.Keeper
 	// Ready reports whether the box knows where requests may go; nil means always.
 	Ready func() bool
-	// TableCurrent reports whether the table in force is known to be the newest.
-	TableCurrent func() bool
+	// Tables reports how recent the table in force is; nil means that it is the newest.
+	Tables Tables
 	// ParsePrefill parses an engine's answer to a prefill and returns the handle of the result
 	// and the number of tokens.
 	ParsePrefill func(body []byte) (handle string, tokens int, err error)
--- a/coordination/relay/run.go
+++ b/coordination/relay/run.go
@@ -47,10 +47,10 @@
 	caller  Caller
 	id      lifecycle.RequestID
 
-	// generation is the generation of the table by which the request was routed.
-	generation uint64
-	route      table.Route
-	service    table.Service
+	// generation and version identify the table by which the request was routed.
+	generation, version uint64
+	route               table.Route
+	service             table.Service
 	// group is written with the mutex held because rehome reads it.
 	group    string
 	deadline time.Time
@@ -189,6 +189,7 @@
 // serve handles the request until it is answered, refused or aborted.
 func (h *handler) serve(ctx context.Context) {
 	index, t := h.relay.current()
+	h.generation, h.version = t.Generation, t.Version
 	if index.Generation() == 0 || h.relay.cfg.Ready != nil && !h.relay.cfg.Ready() {
 		h.refuse(http.StatusServiceUnavailable, "box_not_ready", notReadyRetry)
 		return
@@ -198,7 +199,7 @@
 		h.refuse(http.StatusNotFound, "no_route", 0)
 		return
 	}
-	h.route, h.generation = found, index.Generation()
+	h.route = found
 	h.service, _ = t.Service(route.Pick(found, h.request.ID))
 	if !h.identify() {
 		return
--- a/state/schedule/group.go
+++ b/state/schedule/group.go
@@ -137,6 +137,8 @@
 	nextRetryAt int64
 	// serviceNS is the mean time for which a plain request holds its slot.
 	serviceNS float64
+	// learnedAt is when a request last ended well.
+	learnedAt int64
 	// releases counts released decode slots, decayed.
 	releases decayedSum
 	nextTurn int
--- a/state/schedule/learn.go
+++ b/state/schedule/learn.go
@@ -100,7 +100,8 @@
 		g.endTrials(gr)
 		return
 	}
-	g.learnService(sinceStart(g.start, now) - gr.grantedAt)
+	g.learnedAt = sinceStart(g.start, now)
+	g.learnService(g.learnedAt - gr.grantedAt)
 	e := &g.engines[gr.decode]
 	e.breaker = e.breaker.WithSuccess(g.errorRatio)
 	g.errorRatio -= g.errorRatio * errorWeight
--- a/state/schedule/refuse.go
+++ b/state/schedule/refuse.go
@@ -68,14 +68,15 @@
 func (g *Group) inputs(w *waiter, t, wait int64) Inputs {
 	free, _ := g.slots()
 	return Inputs{
-		Waiting:     len(g.waiting),
-		Granted:     len(g.grants),
-		FreeSlots:   free,
-		IdleLatency: time.Duration(w.idleNS),
-		Wait:        time.Duration(wait),
-		Remaining:   time.Duration(w.deadline - t),
-		Paced:       g.pacedCount(),
-		Limited:     g.limitedCount(),
+		Waiting:      len(g.waiting),
+		Granted:      len(g.grants),
+		FreeSlots:    free,
+		IdleLatency:  time.Duration(w.idleNS),
+		Wait:         time.Duration(wait),
+		SinceLearned: time.Duration(t - g.learnedAt),
+		Remaining:    time.Duration(w.deadline - t),
+		Paced:        g.pacedCount(),
+		Limited:      g.limitedCount(),
 	}
 }
 
--- a/state/schedule/types.go
+++ b/state/schedule/types.go
@@ -229,6 +229,8 @@
 	// IdleLatency is the time to the first token on an idle group, and Wait the expected wait
 	// before the prefill begins.
 	IdleLatency, Wait time.Duration
+	// SinceLearned is the time since a request of the group last ended well.
+	SinceLearned time.Duration
 	// Remaining is the time remaining until the deadline.
 	Remaining time.Duration
 	// Paced is the number of engines left out because they have reached their limit, either as
