A group whose estimate refuses everything starts a request now and then, and learns from it

Cause: a home learns how long a request holds its slot by its own clock. It stood still for 8 s, saw 17 requests end after 8 s, and took an idle group to need 1,620 ms, over every target. It then refused each request as one that can't be met, and learns only from requests that run. Endpoints that are slow for a while do the same without any pause.

Now one observation counts at most twice the mean, and where the learned time alone exceeds the target, though the stated speeds would meet it, one request at a time is started as a trial and weighs a quarter.

Groups of engines had no such trap through their decode engines: TestFreeEnginesRefuseAllAfterTheirPrefillsWereSlow passes before too.

--- a/state/schedule/admit.go
+++ b/state/schedule/admit.go
@@ -25,6 +25,10 @@
 		reuse:           c.Reuse,
 		kvTokens:        a.PromptTokens + a.OutputTokens,
 		mode:            c.Mode,
+		trial:           w.trial,
+	}
+	if w.trial {
+		g.trialAt = t
 	}
 	g.grants[a.ID] = gr
 	if c.Prefill != none && !c.Reuse {
--- a/state/schedule/group.go
+++ b/state/schedule/group.go
@@ -96,6 +96,8 @@
 	// pacedPrefill and pacedDecode report that the grant counts against the limit of its
 	// engines. decodeUnsent is true while the decode still has to be sent to a cold engine.
 	pacedPrefill, pacedDecode, decodeUnsent bool
+	// trial is true if the request started although the estimates said that it misses its target.
+	trial bool
 	// firstToken and transfer are the estimates that were returned with the grant.
 	firstToken, transfer time.Duration
 }
@@ -137,8 +139,8 @@
 	nextRetryAt int64
 	// serviceNS is the mean time for which a plain request holds its slot.
 	serviceNS float64
-	// learnedAt is when a request last ended well.
-	learnedAt int64
+	// learnedAt is when a request last ended well, and trialAt when the last trial started.
+	learnedAt, trialAt int64
 	// releases counts released decode slots, decayed.
 	releases decayedSum
 	nextTurn int
@@ -224,6 +226,7 @@
 	}
 	g.waiting = append(g.waiting, w)
 	out := g.startWaiting(now)
+	w.trial = false
 	i := slices.Index(g.waiting, w)
 	switch {
 	case i < 0:
--- a/state/schedule/learn.go
+++ b/state/schedule/learn.go
@@ -101,7 +101,7 @@
 		return
 	}
 	g.learnedAt = sinceStart(g.start, now)
-	g.learnService(g.learnedAt - gr.grantedAt)
+	g.learnService(gr, time.Duration(g.learnedAt-gr.grantedAt))
 	e := &g.engines[gr.decode]
 	e.breaker = e.breaker.WithSuccess(g.errorRatio)
 	g.errorRatio -= g.errorRatio * errorWeight
@@ -125,19 +125,31 @@
 	g.learnLink(gr, r)
 }
 
-// serviceWeight is the weight of one request in the mean service time of plain requests: some
-// tens of requests show that the endpoints have become slower.
-const serviceWeight = 1.0 / 32
+const (
+	// serviceWeight is the weight of one request in the mean time for which a slot is held, and
+	// trialWeight that of a trial.
+	serviceWeight = 1.0 / 32
+	trialWeight   = 1.0 / 4
+	// maxServiceRatio bounds one observation to this many times the mean, but not below
+	// minServiceBound: a home that stood still sees the requests of that time end late.
+	maxServiceRatio = 2
+	minServiceBound = 20 * time.Millisecond
+)
 
-// learnService adds the time for which a plain request held its slot to the mean.
-func (g *Group) learnService(held int64) {
+// learnService learns how long a plain request holds its slot.
+func (g *Group) learnService(gr *grant, held time.Duration) {
 	if !g.cfg.Plain {
 		return
 	}
 	if g.serviceNS == 0 {
 		g.serviceNS = float64(held)
 	}
-	g.serviceNS += (float64(held) - g.serviceNS) * serviceWeight
+	weight := serviceWeight
+	if gr.trial {
+		weight = trialWeight
+	}
+	observed := min(float64(held), max(g.serviceNS*maxServiceRatio, float64(minServiceBound)))
+	g.serviceNS += (observed - g.serviceNS) * weight
 }
 
 // minLearnSteps excludes very short answers from the learned step time.
--- a/state/schedule/order.go
+++ b/state/schedule/order.go
@@ -21,11 +21,13 @@
 	idleNS int64
 	// late is true if the request can no longer meet its target.
 	late bool
+	// trial is true if the request starts although the estimates say that it misses its target.
+	trial bool
 }
 
 // cannotMeetDeadline reports whether even an idle group could not meet the deadline.
 func (w *waiter) cannotMeetDeadline(now int64) bool {
-	return !w.ask.Resume && now+w.idleNS > w.deadline
+	return !w.ask.Resume && !w.trial && now+w.idleNS > w.deadline
 }
 
 // decayedSum is a sum that decays exponentially; amount is its value at a time.
--- a/state/schedule/refuse.go
+++ b/state/schedule/refuse.go
@@ -47,11 +47,46 @@
 		return Refusal{}, false
 	}
 	if wait := g.waitNS(w, t); t+wait+w.idleNS > w.deadline && !g.startsInTime(w, t) {
-		return refuse(lifecycle.ReasonTargetUnreachable, wait, wait)
+		if w.trial = g.isTrial(w, t); !w.trial {
+			return refuse(lifecycle.ReasonTargetUnreachable, wait, wait)
+		}
 	}
 	return Refusal{}, false
 }
 
+// isTrial reports whether a request that should be refused is started to correct the estimates.
+// They are learned only from requests that run, so estimates that refuse all requests would stay
+// wrong. That is so if the learned time on an idle group alone exceeds the target, and the time by
+// the engines' stated speeds doesn't; then one request at a time is started, or one in that time
+// if others run.
+func (g *Group) isTrial(w *waiter, t int64) bool {
+	if w.arrivedAt+w.idleNS <= w.deadline || w.arrivedAt+g.statedIdleNS(w.ask) > w.deadline {
+		return false
+	}
+	if len(g.waiting) > 0 || len(g.grants) > 0 && t-g.trialAt < w.idleNS {
+		return false
+	}
+	_, ok := g.place(t, w)
+	return ok
+}
+
+// statedIdleNS returns the time to the first token of an ask on an idle group by the engines'
+// stated speeds; 0 for plain requests, for which none is stated.
+func (g *Group) statedIdleNS(a Ask) int64 {
+	lowest := int64(0)
+	for i := range g.engines {
+		e := &g.engines[i].spec
+		if g.cfg.Plain || !e.Prefill && !e.Decode {
+			continue
+		}
+		prefill := float64(a.PromptTokens) * float64(time.Second) / max(e.PrefillRate, 1)
+		if stated := int64(prefill) + int64(e.StepBase+e.StepPerRequest); lowest == 0 || stated < lowest {
+			lowest = stated
+		}
+	}
+	return lowest
+}
+
 // startsInTime reports whether a new waiter is first in order, would start now and would meet
 // its deadline. That is possible although the prefill engines are busy for too long, because a
 // decode engine may prefill.
