A refresh ends the pause of the table's watch, and is not followed by one

Cause: a box that loses the store, and has it back, asks for a refresh, so that a watch that may never end is read anew. The refresh ended only a running call; the pause after failed ones, up to 3 s with its jitter, ran on, and a refresh that came while the watch was well was followed by such a pause too. In the logs the box reads its table at 32.34, and then neither a table nor a failure until 35.06.

Now a refresh ends the pause, the object is read at once, and pauses are at most 0.75 s.

--- a/coordination/follow/follow.go
+++ b/coordination/follow/follow.go
@@ -69,7 +69,9 @@
 	readTimeout    = 1200 * time.Millisecond
 	defaultSettle  = 1500 * time.Millisecond
 	initialBackoff = 50 * time.Millisecond
-	maxBackoff     = 2 * time.Second
+	// maxBackoff leaves time for several tries within the 2 s in which a change has to take
+	// effect.
+	maxBackoff = 500 * time.Millisecond
 	// roleCheckInterval is how often a box checks whether it has become one of the boxes
 	// that watch the platform.
 	roleCheckInterval = 200 * time.Millisecond
--- a/coordination/follow/read.go
+++ b/coordination/follow/read.go
@@ -15,7 +15,6 @@
 
 	"runridge.example/runridge/coordination/adapter"
 	"runridge.example/runridge/modules/log"
-	"runridge.example/runridge/modules/sleep"
 	"runridge.example/runridge/state/cover"
 	"runridge.example/runridge/state/table"
 )
@@ -49,11 +48,15 @@
 		if !f.watching() {
 			// Changes arrived from other boxes meanwhile; the object is read again.
 			version = 0
-			sleep.For(ctx, roleCheckInterval)
+			f.wait(ctx, roleCheckInterval)
 			continue
 		}
 		next, err := f.readOnce(ctx, version)
-		if errors.Is(err, adapter.ErrHistoryGone) || errors.Is(err, errRefresh) {
+		if errors.Is(err, errRefresh) {
+			version = 0
+			continue
+		}
+		if errors.Is(err, adapter.ErrHistoryGone) {
 			version = 0
 			f.pause(ctx, pauses.NextBackOff(), err)
 			continue
@@ -78,13 +81,24 @@
 	return nil
 }
 
-// pause waits after a read that ended with an error.
+// pause waits after a read that failed, and then reads the object again, at once on a refresh.
 func (f *Follower) pause(ctx context.Context, length time.Duration, err error) {
 	f.cfg.Log.WithFields(log.Fields{
 		log.FieldGeneration: f.Table().Generation,
 		"pause_ms":          length.Milliseconds(),
 	}).WithError(err).Warn("platform_watch_failed")
-	sleep.For(ctx, length)
+	f.wait(ctx, length)
+}
+
+// wait waits for a time, or until a refresh is requested.
+func (f *Follower) wait(ctx context.Context, length time.Duration) {
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-f.refresh.C():
+	case <-timer.C:
+	}
 }
 
 // errRefresh is returned for a wait that a refresh ended, so that the object is read
