Boxes take the place of readers that fall silent within 0.8 s

Cause: updates of the boxes that read the store for others counted for 1.1 s, though one comes every 0.6 s; then a box waited by rank for up to 0.6 s, or, once a reader had reported that it lost the store, up to 0.1 s times the number of boxes at random; its first read that worked was not announced, so that the others waited 0.6 s more, or read too; and its table was read up to 0.2 s later. A new reader began with a wait of 0.6 s, of whose success nobody knew.

Now an update counts for 0.65 s, the next 16 boxes in rank follow at steps of 20 ms whatever the readers report, and only further ones and later tries are spread at random, as before. The first read that works is announced, the table is read in the same moment, and a box that becomes a reader sends its first update before the last one of another box runs out.

TestTablesStallWhileWatchersLoseTheStore: three of seven cases red, 1.2 to 1.8 s -> none. TestFleet keeps its bounds on reads; its boxes now read as Decide says.

--- a/box/drain.go
+++ b/box/drain.go
@@ -30,9 +30,10 @@
 // setDrained puts the drained zones into force.
 func (b *Box) setDrained(z zones.Zones) { b.routed.discoverer.SetDrained(z.Names()) }
 
-// platformLost makes the table follower and the keeper of drained zones read again at once:
-// a wait that was pending when the platform was lost may never end.
-func (b *Box) platformLost() {
+// rereadPlatform makes the table follower and the keeper of drained zones read again at once: a wait
+// that was pending when the platform was lost may never end, and a box that starts to read has
+// relied on others until now.
+func (b *Box) rereadPlatform() {
 	b.follower.Refresh()
 	b.routed.drains.Refresh()
 }
--- a/box/routed.go
+++ b/box/routed.go
@@ -90,7 +90,8 @@
 	r.discoverer = discover.New(discover.Config{
 		Source:        r.platform,
 		OnChange:      b.setDirectory,
-		OnLost:        b.platformLost,
+		OnLost:        b.rereadPlatform,
+		OnReading:     b.rereadPlatform,
 		OnRestore:     b.platformRestored,
 		BatchDelay:    b.changePause,
 		Self:          b.settings.Name,
--- a/coordination/discover/discover.go
+++ b/coordination/discover/discover.go
@@ -17,6 +17,7 @@
 	"runridge.example/runridge/coordination/adapter"
 	"runridge.example/runridge/modules/log"
 	"runridge.example/runridge/modules/sleep"
+	"runridge.example/runridge/state/cover"
 	"runridge.example/runridge/state/directory"
 )
 
@@ -47,6 +48,8 @@
 	// OnLost is called when the platform has dropped its history, stopped answering, or
 	// answers again: other waits on the platform may then never return.
 	OnLost func()
+	// OnReading is called when this box starts to read the platform, for itself or for others.
+	OnReading func()
 	// OnRestore is called when the platform was restored from an older copy, which may lack
 	// what this box wrote.
 	OnRestore func()
@@ -77,6 +80,8 @@
 	// leaving endpoint still has to be known in time.
 	defaultWait = time.Second
 	defaultKeep = 30 * time.Second
+	// answerTime is the part of a wait's time that is left for the platform's answer.
+	answerTime = 400 * time.Millisecond
 	// listTimeout bounds the read of a whole list, over all its pages.
 	listTimeout    = 10 * time.Second
 	initialBackoff = 50 * time.Millisecond
@@ -181,16 +186,13 @@
 			continue
 		}
 		knownBefore := d.Directory().Known()
-		err := d.readOnce(ctx, whole, !decision.Announce)
+		err := d.readOnce(ctx, whole, decision)
 		if err != nil && whole && !knownBefore && d.Directory().Known() {
 			// A list from another box, maybe of another region, came first.
 			whole = false
 			d.announceUnless(d.Directory().Snapshot(), 1)
 			continue
 		}
-		if err == nil && !whole {
-			d.noteRead(true)
-		}
 		switch {
 		case err == nil && whole:
 			// Reading the list doesn't prove that changes can be watched, so the backoff isn't
@@ -234,13 +236,15 @@
 	}
 }
 
-// readOnce reads the whole list, or else the changes: with atOnce those that exist now,
-// otherwise those that arrive during a wait. It updates the directory and announces what
-// was read.
-func (d *Discoverer) readOnce(ctx context.Context, whole, atOnce bool) error {
+// readOnce reads the whole list, or else the changes, as decided: those that exist now, or
+// those that arrive during a wait. It updates the directory and announces what was read.
+func (d *Discoverer) readOnce(ctx context.Context, whole bool, decided cover.Decision) error {
 	bound := d.cfg.Wait
-	if whole {
+	switch {
+	case whole:
 		bound = listTimeout
+	case decided.MaxWait > 0:
+		bound = min(bound, decided.MaxWait+answerTime)
 	}
 	ctx, cancel := context.WithTimeout(ctx, bound)
 	defer cancel()
@@ -270,7 +274,7 @@
 		return nil
 	}
 	after := d.Directory().At()
-	changes, at, err := d.cfg.Source.EndpointChanges(ctx, after, atOnce)
+	changes, at, err := d.cfg.Source.EndpointChanges(ctx, after, decided.AtOnce)
 	if err != nil {
 		return err
 	}
@@ -282,6 +286,8 @@
 		}
 		return known.WithChanges(now, at, changes).WithoutGone(now, d.cfg.KeepRemoved)
 	})
+	// Noted first, so that a box that takes the place of the readers announces its first read.
+	d.noteRead(true)
 	d.announce(directory.Update{After: after, At: at, Changes: changes})
 	return nil
 }
--- a/coordination/discover/share.go
+++ b/coordination/discover/share.go
@@ -77,10 +77,20 @@
 		return cover.Decision{Read: true, Announce: true}
 	}
 	place := d.place(d.cfg.Self)
+	decision, started := d.decideAt(now, place)
+	if started && d.cfg.OnReading != nil {
+		d.cfg.OnReading()
+	}
+	return decision
+}
+
+// decideAt is like decide for a place, and reports whether this box starts to read.
+func (d *Discoverer) decideAt(now time.Time, place cover.Place) (decision cover.Decision, started bool) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	decision := d.exchange.cover.Decide(now, place)
-	if decision.Read != d.exchange.decided.Read {
+	before := d.exchange.decided.Read
+	decision = d.exchange.cover.Decide(now, place)
+	if decision.Read != before {
 		d.cfg.Log.WithFields(log.Fields{
 			"watching": decision.Read,
 			"position": d.known.At(),
@@ -90,7 +100,7 @@
 		}).Info("endpoint_watch_changed")
 	}
 	d.exchange.decided = decision
-	return decision
+	return decision, decision.Read && !before
 }
 
 // noteRead records whether this box's own read of the platform succeeded.
--- a/state/cover/cover.go
+++ b/state/cover/cover.go
@@ -26,9 +26,9 @@
 	// 48 s, where one set of readers had made 740.
 	RegionReaders = 2
 	// Validity is how long an update of a reader keeps a box from reading itself. It is
-	// somewhat longer than the time that a reader waits for changes, after which it always
+	// somewhat longer than the 600 ms that a reader waits for changes, after which it always
 	// sends an update.
-	Validity = 1100 * time.Millisecond
+	Validity = 650 * time.Millisecond
 	// startTime is how long a box that knows no other box waits for the list of boxes before it
 	// assumes that it is the only one. The list is read again after 2 s.
 	startTime = 2500 * time.Millisecond
@@ -36,9 +36,12 @@
 	// readers, so that the update of the first one arrives before most others read: an update
 	// crosses the tree of boxes in some 10 ms.
 	takeoverStep = 20 * time.Millisecond
-	// maxTakeoverDelay bounds that delay: a box that is cut off from all others must learn of a
-	// change of the configuration within 2 s.
-	maxTakeoverDelay = 600 * time.Millisecond
+	// maxTakeoverDelay bounds that delay: with Validity, a box that is cut off from all others
+	// reads the platform well within a second.
+	maxTakeoverDelay = 150 * time.Millisecond
+	// standbys is how many boxes, the next in rank after the readers, try to replace them at
+	// once even if a reader has lost the platform.
+	standbys = 16
 	// lostTime is how long a reader's message that it has lost the platform is valid. Readers
 	// repeat it with each failed call, at most 1.7 s apart.
 	lostTime = 2500 * time.Millisecond
@@ -74,6 +77,8 @@
 	nextTry time.Time
 	// standIn means that this box reads in place of the readers.
 	standIn bool
+	// tried is when this box's own last read of the platform ended, whether it worked or not.
+	tried time.Time
 }
 
 // New returns the cover of a box that starts.
@@ -83,10 +88,14 @@
 type Decision struct {
 	// Read means that it reads the platform.
 	Read bool
-	// Announce means that it sends what it reads to the others. A box that reads without
-	// Announce only makes calls that return at once; if that works, it sends updates from then
-	// on, before the next boxes in rank read too.
+	// Announce means that it sends what it reads to the others. If the read of a box without
+	// Announce works, it sends updates from then on, before the next boxes in rank read too.
 	Announce bool
+	// AtOnce means that it doesn't wait for changes, because it is not known whether any box
+	// reaches the platform.
+	AtOnce bool
+	// MaxWait bounds its wait for changes; 0 means no bound.
+	MaxWait time.Duration
 	// Wait is how long a box that does not read may wait before it decides again.
 	Wait time.Duration
 }
@@ -97,12 +106,24 @@
 		return Decision{Wait: startTime - now.Sub(c.started)}
 	}
 	if p.Reader() || c.standIn {
-		return Decision{Read: true, Announce: true}
+		return c.announcedRead(now, p)
 	}
 	if wait := c.due(p).Sub(now); wait > 0 {
 		return Decision{Wait: wait}
 	}
-	return Decision{Read: true}
+	return Decision{Read: true, AtOnce: true}
+}
+
+// announcedRead returns the decision to read for all. A box that starts to do so sends its first
+// update before the last one from another box expires.
+func (c Cover) announcedRead(now time.Time, p Place) Decision {
+	decision := Decision{Read: true, Announce: true}
+	if !c.tried.IsZero() && now.Sub(c.tried) < Validity {
+		return decision
+	}
+	decision.MaxWait = max(c.due(p).Sub(now), 0)
+	decision.AtOnce = decision.MaxWait == 0
+	return decision
 }
 
 // due returns when a box that is not a reader reads itself unless an update arrives.
@@ -116,7 +137,18 @@
 	if !c.nextTry.IsZero() {
 		return later(c.nextTry, deadline)
 	}
-	return deadline.Add(min(time.Duration(max(p.Rank, 0))*takeoverStep, maxTakeoverDelay))
+	return deadline.Add(p.takeoverDelay())
+}
+
+// standby returns how many boxes come between the readers and this one in rank.
+func (p Place) standby() int { return p.Rank - cmp.Or(p.Readers, Readers) }
+
+// takeoverDelay returns how much later than a reader this box reads if no update arrives.
+func (p Place) takeoverDelay() time.Duration {
+	if p.Rank < 0 {
+		return maxTakeoverDelay
+	}
+	return min(time.Duration(max(p.standby()+1, 0))*takeoverStep, maxTakeoverDelay)
 }
 
 func later(a, b time.Time) time.Time {
@@ -140,9 +172,9 @@
 }
 
 // WithLost returns the cover after a reader reported that it has lost the platform. The random
-// number chance, from 0 to 1, spreads the boxes' own tries.
+// number chance, from 0 to 1, spreads the first tries of boxes that are not standbys.
 func (c Cover) WithLost(now time.Time, p Place, chance float64) Cover {
-	if !c.Lost(now) {
+	if !c.Lost(now) && (p.Rank < 0 || p.standby() >= standbys) {
 		c.nextTry = drawTry(now, p, chance)
 	}
 	c.lost = now
@@ -166,7 +198,7 @@
 // readers.
 func (c Cover) WithRead(now time.Time, p Place, worked bool, chance float64) Cover {
 	c.standIn = worked && !p.Reader() && (c.updated.IsZero() || now.Sub(c.updated) >= Validity)
-	c.nextTry = time.Time{}
+	c.nextTry, c.tried = time.Time{}, now
 	if !worked && c.Lost(now) {
 		c.nextTry = drawTry(now, p, chance)
 	}
--- a/state/cover/cover_test.go
+++ b/state/cover/cover_test.go
@@ -80,7 +80,11 @@
 		if decided := b.cover.Decide(f.now, p); decided.Read {
 			b.reads++
 			b.reading = f.now.Add(step)
-			if decided.Announce {
+			switch {
+			case decided.AtOnce:
+			case decided.MaxWait > 0:
+				b.reading = f.now.Add(min(wait, decided.MaxWait))
+			default:
 				b.reading = f.now.Add(wait)
 			}
 		}
--- a/tests/watchers/watchers_test.go
+++ b/tests/watchers/watchers_test.go
@@ -209,7 +209,7 @@
 		b := &box{name: name, fleet: f, door: &door{store: f.store, moved: make(chan struct{})}}
 		b.discoverer = discover.New(discover.Config{
 			Source: b.door, Self: name, Peers: b, Ranked: f.ranked, Log: log.Discard(),
-			OnLost: func() { b.follower.Refresh() },
+			OnLost: func() { b.follower.Refresh() }, OnReading: func() { b.follower.Refresh() },
 		})
 		b.follower = follow.New(follow.Config{
 			Self: name, Platform: b.door, Peers: b, Ranked: f.ranked, Settle: settle, Wait: tableWait,
