A refresh ends the pause of the watch for drained zones too

The same fault as in the table's watch, found by looking for it: after failed reads a refresh of the drained zones waited for the pause, up to 1.5 s of the 5 s in which a drain has to be in force, and was followed by one.

--- a/coordination/drain/drain.go
+++ b/coordination/drain/drain.go
@@ -100,6 +100,8 @@
 	heldUntil time.Time
 	// firstHeard is when the first message of another box arrived; zero means never.
 	firstHeard time.Time
+	// unanswered is true if the platform did not answer the last read.
+	unanswered bool
 	// forwarded maps an origin to the position of its last update that this box forwarded.
 	forwarded map[string]uint64
 }
@@ -153,11 +155,15 @@
 		if !first && !k.cfg.Reads() {
 			// Changes arrive from other boxes meanwhile.
 			whole = true
-			sleep.For(ctx, roleCheckInterval)
+			k.noteAnswered(true)
+			sleep.ForUnlessWoken(ctx, roleCheckInterval, k.refresh.C())
 			continue
 		}
 		whole = k.takeRereadDue(time.Now()) || whole
 		err := k.readOnce(ctx, whole)
+		if !errors.Is(err, errRefresh) {
+			k.noteAnswered(err == nil || errors.Is(err, adapter.ErrHistoryGone))
+		}
 		switch {
 		case err == nil:
 			if !whole {
@@ -169,19 +175,35 @@
 				k.cfg.Log.WithFields(log.Fields{"position": k.Zones().At()}).Info("drained_zones_regained")
 			}
 			first, whole, lost = false, false, false
-		case errors.Is(err, adapter.ErrHistoryGone) || errors.Is(err, errRefresh):
+		case errors.Is(err, errRefresh):
+			whole = true
+		case errors.Is(err, adapter.ErrHistoryGone):
 			whole = true
-			sleep.For(ctx, pauses.NextBackOff())
+			sleep.ForUnlessWoken(ctx, pauses.NextBackOff(), k.refresh.C())
 		case ctx.Err() == nil:
 			first = first && !k.Zones().Known()
 			lost = true
 			k.cfg.Log.WithError(err).Warn("drained_zones_failed")
-			sleep.For(ctx, pauses.NextBackOff())
+			sleep.ForUnlessWoken(ctx, pauses.NextBackOff(), k.refresh.C())
 		}
 	}
 	return nil
 }
 
+// noteAnswered records whether the platform answered a read.
+func (k *Keeper) noteAnswered(answered bool) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.unanswered = !answered
+}
+
+// Reaches reports whether the platform answered this box's last read of the drained zones.
+func (k *Keeper) Reaches() bool {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	return !k.unanswered
+}
+
 // errRefresh is returned for a wait that a refresh ended, so that the list is read again.
 var errRefresh = errors.New("the list is read anew")
 
--- a/coordination/follow/follow.go
+++ b/coordination/follow/follow.go
@@ -95,6 +95,8 @@
 	history       []table.Table
 	observers     []func(table.Table)
 	platformHeard time.Time
+	// unanswered is true if the platform did not answer the last read.
+	unanswered bool
 	// confirmed is the latest time at which the platform is known, from this box's reads or
 	// other boxes' reports, to have had no newer table than the one in force.
 	confirmed time.Time
--- a/coordination/follow/read.go
+++ b/coordination/follow/read.go
@@ -15,6 +15,7 @@
 
 	"runridge.example/runridge/coordination/adapter"
 	"runridge.example/runridge/modules/log"
+	"runridge.example/runridge/modules/sleep"
 	"runridge.example/runridge/state/cover"
 	"runridge.example/runridge/state/table"
 )
@@ -46,9 +47,10 @@
 	version := uint64(0)
 	for ctx.Err() == nil {
 		if !f.watching() {
-			// Changes arrived from other boxes meanwhile; the object is read again.
+			// Changes arrive from other boxes meanwhile; later the object is read again.
 			version = 0
-			f.wait(ctx, roleCheckInterval)
+			f.noteAnswered(true)
+			sleep.ForUnlessWoken(ctx, roleCheckInterval, f.refresh.C())
 			continue
 		}
 		next, err := f.readOnce(ctx, version)
@@ -87,18 +89,7 @@
 		log.FieldGeneration: f.Table().Generation,
 		"pause_ms":          length.Milliseconds(),
 	}).WithError(err).Warn("platform_watch_failed")
-	f.wait(ctx, length)
-}
-
-// wait waits for a time, or until a refresh is requested.
-func (f *Follower) wait(ctx context.Context, length time.Duration) {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-f.refresh.C():
-	case <-timer.C:
-	}
+	sleep.ForUnlessWoken(ctx, length, f.refresh.C())
 }
 
 // errRefresh is returned for a wait that a refresh ended, so that the object is read
@@ -131,6 +122,7 @@
 	if errors.Is(call.Err(), context.Canceled) && ctx.Err() == nil {
 		return version, errRefresh
 	}
+	f.noteAnswered(err == nil || errors.Is(err, adapter.ErrNotFound) || errors.Is(err, adapter.ErrHistoryGone))
 	if err != nil {
 		return version, err
 	}
@@ -167,6 +159,20 @@
 	return next, nil
 }
 
+// noteAnswered records whether the platform answered a read.
+func (f *Follower) noteAnswered(answered bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.unanswered = !answered
+}
+
+// Reaches reports whether the platform answered this box's last read of the table.
+func (f *Follower) Reaches() bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return !f.unanswered
+}
+
 // mayBeStale reports whether the object is read as it may have been some seconds ago.
 func (f *Follower) mayBeStale(version uint64) bool {
 	return version == 0 && f.cfg.FirstAtOnce && f.Table().Generation == 0
--- a/modules/sleep/sleep.go
+++ b/modules/sleep/sleep.go
@@ -10,11 +10,15 @@
 )
 
 // For returns after d, or as soon as the context ends.
-func For(ctx context.Context, d time.Duration) {
+func For(ctx context.Context, d time.Duration) { ForUnlessWoken(ctx, d, nil) }
+
+// ForUnlessWoken returns after d, or as soon as the context ends or wake gets a value.
+func ForUnlessWoken(ctx context.Context, d time.Duration, wake <-chan struct{}) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
+	case <-wake:
 	case <-timer.C:
 	}
 }
