The updates of a reader that doesn't get the table keep nobody from reading it

A reader whose calls for the table fail, while those for endpoints work, kept all other boxes from reading the table, for as long as that lasted: the update of the endpoints vouched for both.

Now an update says that the platform is lost if its sender's last read of the table or of the drained zones was not answered. It still carries its changes.

TestReadersWithoutTheTableKeepOthersFromReadingIt: no new table in 10 s at any box before, none late now.

--- a/box/drain.go
+++ b/box/drain.go
@@ -38,6 +38,10 @@
 	b.routed.drains.Refresh()
 }
 
+// platformReached reports whether the platform answered this box's last read of the table and of the
+// drained zones.
+func (b *Box) platformReached() bool { return b.follower.Reaches() && b.routed.drains.Reaches() }
+
 // listReadJitter is the time over which boxes spread their reads of the platform's list of
 // boxes after the platform came back with an older state: all of them at once would be more
 // than it can answer.
--- a/box/routed.go
+++ b/box/routed.go
@@ -92,6 +92,7 @@
 		OnChange:      b.setDirectory,
 		OnLost:        b.rereadPlatform,
 		OnReading:     b.rereadPlatform,
+		Vouches:       b.platformReached,
 		OnRestore:     b.platformRestored,
 		BatchDelay:    b.changePause,
 		Self:          b.settings.Name,
--- a/coordination/discover/discover.go
+++ b/coordination/discover/discover.go
@@ -69,6 +69,10 @@
 	// Readers is the number of boxes, first in rank, that read the platform for their
 	// region; 0 stands for cover.Readers.
 	Readers int
+	// Vouches reports whether the platform also answers what this box reads besides the list of
+	// endpoints. Other boxes don't rely on the updates of a box that can't vouch; nil means that
+	// it always can.
+	Vouches func() bool
 	// Listed reports whether the platform's list of boxes has been read; if it is nil, each
 	// box reads its first list of endpoints from the platform itself.
 	Listed func() bool
--- a/coordination/discover/share.go
+++ b/coordination/discover/share.go
@@ -162,6 +162,7 @@
 	d.exchange.sequence++
 	u.Origin, u.Sequence = d.cfg.Self, d.exchange.sequence
 	d.mutex.Unlock()
+	u.Lost = u.Lost || d.cfg.Vouches != nil && !d.cfg.Vouches()
 	d.forward(u)
 	d.sendToOtherRegions(u)
 }
--- a/tests/watchers/watchers_test.go
+++ b/tests/watchers/watchers_test.go
@@ -86,7 +86,8 @@
 	mutex sync.Mutex
 	mode  mode
 	moved chan struct{}
-	calls int
+	// tableLost fails all calls for the table, and no others.
+	tableLost bool
 }
 
 func (d *door) set(m mode) {
@@ -103,6 +104,19 @@
 	return d.mode, d.moved
 }
 
+func (d *door) isTableLost() bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.tableLost
+}
+
+// loseTable makes all further calls for the table fail.
+func (d *door) loseTable() {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.tableLost = true
+}
+
 // fail ends a call as a door that is not up ends it.
 func (d *door) fail(ctx context.Context, m mode) error {
 	if m == refused {
@@ -116,9 +130,6 @@
 // watch waits until the context's deadline, less watchMargin, for a revision above after, and
 // returns the store's revision. An after of none returns at once.
 func (d *door) watch(ctx context.Context, after uint64, none bool) (uint64, error) {
-	d.mutex.Lock()
-	d.calls++
-	d.mutex.Unlock()
 	m, moved := d.state()
 	if m != up {
 		return 0, d.fail(ctx, m)
@@ -153,6 +164,9 @@
 
 // Get returns the table.
 func (d *door) Get(ctx context.Context, _ string, after uint64) (adapter.Object, error) {
+	if d.isTableLost() {
+		return adapter.Object{}, d.fail(ctx, silent)
+	}
 	at, err := d.watch(ctx, after, after == 0)
 	if err != nil || at <= after {
 		return adapter.Object{At: at}, err
@@ -210,6 +224,7 @@
 		b.discoverer = discover.New(discover.Config{
 			Source: b.door, Self: name, Peers: b, Ranked: f.ranked, Log: log.Discard(),
 			OnLost: func() { b.follower.Refresh() }, OnReading: func() { b.follower.Refresh() },
+			Vouches: func() bool { return b.follower.Reaches() },
 		})
 		b.follower = follow.New(follow.Config{
 			Self: name, Platform: b.door, Peers: b, Ranked: f.ranked, Settle: settle, Wait: tableWait,
@@ -437,3 +452,30 @@
 		})
 	}
 }
+
+// maxDelay is the time within which an accepted table is in force at each box that is not disturbed.
+const maxDelay = 2 * time.Second
+
+func TestReadersWithoutTheTableKeepOthersFromReadingIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(7)
+		ctx, end := context.WithCancel(t.Context())
+		f.run(ctx)
+		time.Sleep(startTime)
+		for position := range 3 {
+			f.at(position).door.loseTable()
+		}
+		time.Sleep(2 * maxDelay)
+		for _, b := range f.boxes {
+			b.measure()
+		}
+		time.Sleep(10 * time.Second)
+		for _, name := range f.names {
+			if stall := f.boxes[name].stall(); stall > maxDelay {
+				t.Errorf("%s had no newer table for %v, want at most %v", name, stall, maxDelay)
+			}
+		}
+		end()
+		time.Sleep(time.Minute)
+	})
+}
