A box that has once heard of a newer table asks for it, not only when it hears of it again

Now it asks when the wait is over. TestNewerTableNamedOnceIsNotAskedFor: asked 0 times before, once now.

--- a/coordination/follow/follow.go
+++ b/coordination/follow/follow.go
@@ -238,6 +238,9 @@
 	f.table = t
 	f.since = time.Now()
 	f.logInForce(t)
+	if !f.newestNamed.NewerThan(t.Stamp()) {
+		f.behindSince = time.Time{}
+	}
 	for _, fn := range f.observers {
 		fn(t)
 	}
--- a/coordination/follow/follow_test.go
+++ b/coordination/follow/follow_test.go
@@ -261,3 +261,25 @@
 		})
 	}
 }
+
+func TestNewerTableNamedOnceIsNotAskedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		asked := 0
+		f := New(Config{Self: "box-1", Peers: pullCounter{asked: &asked}, Ranked: func(string) []string { return nil }, Log: log.Discard()})
+		f.gateOpen = true
+		f.Offer(table.Table{Generation: 4})
+		f.Heard("box-2", table.Stamp{Generation: 5})
+		time.Sleep(2 * pullGrace)
+		synctest.Wait()
+		if asked != 1 {
+			t.Errorf("asked %d times, want once", asked)
+		}
+		f.Offer(table.Table{Generation: 5})
+		f.Heard("box-2", table.Stamp{Generation: 6})
+		f.Offer(table.Table{Generation: 6})
+		time.Sleep(2 * pullGrace)
+		if asked != 1 {
+			t.Errorf("asked %d times after the table had arrived, want once", asked)
+		}
+	})
+}
--- a/coordination/follow/pass.go
+++ b/coordination/follow/pass.go
@@ -72,6 +72,15 @@
 // Heard records which table another box has in force, and pulls that table if it is newer
 // and hasn't arrived along the tree within pullGrace.
 func (f *Follower) Heard(from string, stamp table.Stamp) {
+	if f.noteNamed(from, stamp) {
+		time.AfterFunc(pullGrace, func() { f.noteNamed(from, stamp) })
+	}
+	f.tryOpenGate(false)
+}
+
+// noteNamed records that another box has named its table. It pulls that table if it is due, and
+// otherwise reports whether this box has just learnt that it lacks a newer one.
+func (f *Follower) noteNamed(from string, stamp table.Stamp) (learnt bool) {
 	f.mutex.Lock()
 	f.newestNamed = f.newestNamed.Newer(stamp)
 	have := f.table.Stamp().Newer(f.pending.Stamp())
@@ -80,7 +89,7 @@
 	case !f.newestNamed.NewerThan(have):
 		f.behindSince = time.Time{}
 	case f.behindSince.IsZero():
-		f.behindSince = now
+		f.behindSince, learnt = now, true
 	}
 	// A starting box has put nothing into force yet and pulls at once.
 	waited := !f.gateOpen || now.Sub(f.behindSince) >= pullGrace
@@ -92,7 +101,7 @@
 	if ask {
 		f.cfg.Peers.SendPull(from, have)
 	}
-	f.tryOpenGate(false)
+	return learnt && !ask
 }
 
 // tryOpenGate opens the gate, and puts the pending table into force, once that table is as
