A change of the table starts from the box that read it

Cause: all readers sent a change to one box, the root of a tree drawn from its generation, and to nobody else. If that box stood still, or had just been lost, the change went nowhere until boxes asked for it.

Now the first reader in rank sends it along the tree of which it is the root, the next ones 0.1 s later each unless it has reached them by then, as with endpoints. A change names its origin; changes of builds that don't name one go along the former tree.

--- a/box/assemble.go
+++ b/box/assemble.go
@@ -77,6 +77,7 @@
 		Settle:      b.settle(),
 		FirstAtOnce: b.routed != nil,
 		Reads:       b.tableReads(),
+		Turn:        b.tableTurn(),
 		Wait:        b.tableWait(),
 		Log:         o.Log,
 	})
--- a/box/routed.go
+++ b/box/routed.go
@@ -335,6 +335,15 @@
 	return func() bool { return b.routed.discoverer.Reading() }
 }
 
+// tableTurn makes the boxes send changes of the table in the order in which they announce
+// endpoints.
+func (b *Box) tableTurn() func() time.Duration {
+	if b.routed == nil {
+		return nil
+	}
+	return func() time.Duration { return b.routed.discoverer.Turn() }
+}
+
 // watchSetter returns the function that passes engines to the watch. The watch speaks the
 // product's own engine protocol; engines of routed services speak another, so they have
 // none.
--- a/coordination/discover/share.go
+++ b/coordination/discover/share.go
@@ -120,6 +120,16 @@
 // times to all boxes, because a change ends the waits of all three.
 const standbyStep = 100 * time.Millisecond
 
+// Turn returns how long this box leaves it to the readers before it in rank to send what it has
+// read too.
+func (d *Discoverer) Turn() time.Duration {
+	place := d.place(d.cfg.Self)
+	if !place.Reader() {
+		return 0
+	}
+	return time.Duration(place.Rank) * standbyStep
+}
+
 // announce sends what this box has read from the platform to the others, if it reads for
 // them: at once if it is the first reader or a stand-in for the readers.
 func (d *Discoverer) announce(u directory.Update) { d.announceUnless(u, u.At) }
@@ -130,12 +140,12 @@
 	if d.cfg.Peers == nil || !d.decide(time.Now()).Announce {
 		return
 	}
-	place := d.place(d.cfg.Self)
-	if len(u.Changes) == 0 || place.Rank == 0 || !place.Reader() {
+	turn := d.Turn()
+	if len(u.Changes) == 0 || turn == 0 {
 		d.send(u)
 		return
 	}
-	time.AfterFunc(time.Duration(place.Rank)*standbyStep, func() {
+	time.AfterFunc(turn, func() {
 		switch known := d.announcedPosition() >= announced; {
 		case known && u.Whole:
 			return
--- a/coordination/follow/follow.go
+++ b/coordination/follow/follow.go
@@ -54,6 +54,9 @@
 	// Reads reports whether this box reads the platform itself once it has a table; if it is
 	// nil, the first few boxes in rank do.
 	Reads func() bool
+	// Turn returns how long this box leaves it to other boxes to send a change that it has read
+	// too; if it is nil, that follows from its rank.
+	Turn func() time.Duration
 	// Settle bounds how long a starting box waits for other boxes to name their tables
 	// before it puts its first table into force; 0 is defaultSettle.
 	Settle time.Duration
@@ -75,6 +78,9 @@
 	// roleCheckInterval is how often a box checks whether it has become one of the boxes
 	// that watch the platform.
 	roleCheckInterval = 200 * time.Millisecond
+	// turnStep is the extra delay, per rank, after which a reader sends a change, unless one before
+	// it has sent it by then.
+	turnStep = 100 * time.Millisecond
 	// maxHistory is the number of past tables kept to compute changes from.
 	maxHistory = 8
 	// minPullInterval prevents a pull with every message while this box is behind. pullGrace
@@ -109,7 +115,11 @@
 	// that it is not behind.
 	behindSince time.Time
 	lastPull    time.Time
-	rejected    uint64
+	// forwarded is the stamp of the newest table that this box has sent on, and origin the box
+	// from which that table spreads.
+	forwarded table.Stamp
+	origin    string
+	rejected  uint64
 	// refresh ends the pending wait; the object is read again.
 	refresh *ring.Ring[struct{}]
 }
@@ -178,10 +188,17 @@
 	}
 }
 
-// Offer puts a table from the platform or from another box into force, and forwards the
-// change, if the table is newer. Until the gate is open it only keeps the newest table
-// offered.
+// Offer puts a table from the platform into force and forwards the change, if the table is
+// newer.
 func (f *Follower) Offer(t table.Table) {
+	if change, fresh := f.take(t); fresh {
+		f.forwardRead(change)
+	}
+}
+
+// take puts a table into force if it is newer, and returns the change and whether it did. Until
+// the gate is open it only keeps the newest table offered.
+func (f *Follower) take(t table.Table) (table.Delta, bool) {
 	f.mutex.Lock()
 	if !f.gateOpen {
 		if t.Stamp().NewerThan(f.pending.Stamp()) {
@@ -189,13 +206,10 @@
 		}
 		f.mutex.Unlock()
 		f.tryOpenGate(false)
-		return
-	}
-	change, fresh := f.apply(t)
-	f.mutex.Unlock()
-	if fresh {
-		f.forward(change)
+		return table.Delta{}, false
 	}
+	defer f.mutex.Unlock()
+	return f.apply(t)
 }
 
 // logOlder logs that an offered table is older than the one in force. The caller holds the
--- a/coordination/follow/pass.go
+++ b/coordination/follow/pass.go
@@ -12,29 +12,61 @@
 	"runridge.example/runridge/state/table"
 )
 
-// forward sends a change to this box's children in its region's tree. Each region follows
-// the platform by itself; a region that has lost the platform learns of a newer generation
-// from the boxes of another region and pulls it. The tree is derived anew for each
-// generation, so that no box forwards all changes, and its root gets the change from the
-// boxes that watch the platform.
+// forwardRead sends a change that this box has read from the platform to the others, after its
+// turn, unless a change from another reader has been sent on by then. Each region follows the
+// platform by itself; a region that has lost the platform learns of a newer generation from the
+// boxes of another region and pulls it.
+func (f *Follower) forwardRead(change table.Delta) {
+	if !f.watching() {
+		return
+	}
+	change.Origin = f.cfg.Self
+	turn := f.turn()
+	if turn <= 0 {
+		f.forward(change)
+		return
+	}
+	time.AfterFunc(turn, func() { f.forward(change) })
+}
+
+// turn returns how long this box leaves it to the readers before it in rank to send a change.
+func (f *Follower) turn() time.Duration {
+	if f.cfg.Turn != nil {
+		return f.cfg.Turn()
+	}
+	rank := slices.Index(f.cfg.Ranked(ObjectName), f.cfg.Self)
+	return time.Duration(max(rank, 0)) * turnStep
+}
+
+// forward sends a change to this box's children in the region's tree, whose root is the origin,
+// unless it has already sent on this table or a newer one. A box that isn't in the tree because it
+// is leaving sends to the tree's root.
 func (f *Follower) forward(change table.Delta) {
-	order := spread.TreeOrder(f.cfg.Tree, f.cfg.Ranked, fmt.Sprintf("table@%d", change.Generation), "")
-	at := slices.Index(order, f.cfg.Self)
-	if at < 0 {
+	f.mutex.Lock()
+	sent := !change.Stamp().NewerThan(f.forwarded)
+	if !sent {
+		f.forwarded, f.origin = change.Stamp(), change.Origin
+	}
+	f.mutex.Unlock()
+	if sent {
 		return
 	}
-	var to []string
-	if at > 0 && f.watching() {
-		to = append(to, order[0])
+	key := "table@" + change.Origin
+	if change.Origin == "" {
+		key = fmt.Sprintf("table@%d", change.Generation)
+	}
+	order := spread.TreeOrder(f.cfg.Tree, f.cfg.Ranked, key, change.Origin)
+	to := spread.Children(order, f.cfg.Self)
+	if change.Origin == f.cfg.Self && len(order) > 0 && order[0] != f.cfg.Self {
+		to = order[:1]
 	}
-	to = append(to, spread.Children(order, f.cfg.Self)...)
 	if len(to) > 0 {
 		f.cfg.Peers.SendChange(change, to...)
 	}
 }
 
-// Receive applies a change from another box, or pulls from that box what is missing if the
-// change doesn't fit the table here.
+// Receive applies a change from another box and forwards it, or pulls from that box what is
+// missing if the change doesn't fit the table here.
 func (f *Follower) Receive(from string, d table.Delta) {
 	f.mutex.Lock()
 	current := f.table
@@ -42,15 +74,15 @@
 		current = f.pending
 	}
 	f.mutex.Unlock()
-	if !d.Stamp().NewerThan(current.Stamp()) {
-		return
-	}
-	next, fits := current.WithDelta(d)
-	if !fits {
-		f.cfg.Peers.SendPull(from, current.Stamp())
-		return
+	if d.Stamp().NewerThan(current.Stamp()) {
+		next, fits := current.WithDelta(d)
+		if !fits {
+			f.cfg.Peers.SendPull(from, current.Stamp())
+			return
+		}
+		f.take(next)
 	}
-	f.Offer(next)
+	f.forward(d)
 }
 
 // Pull answers a box that has an older table, with a change if its table is still kept
@@ -63,6 +95,7 @@
 			change = table.Diff(old, current)
 		}
 	}
+	change.Origin = f.origin
 	f.mutex.Unlock()
 	if current.Stamp().NewerThan(have) {
 		f.cfg.Peers.SendChange(change, from)
@@ -119,6 +152,6 @@
 	change, fresh := f.apply(f.pending)
 	f.mutex.Unlock()
 	if fresh {
-		f.forward(change)
+		f.forwardRead(change)
 	}
 }
--- a/state/table/delta.go
+++ b/state/table/delta.go
@@ -29,6 +29,9 @@
 	Routes    ListDelta[Route]    `json:"routes,omitzero"`
 	// Limits are the limits after the change.
 	Limits Limits `json:"limits,omitzero"`
+	// Origin is the box that read the table from the platform and from which the change spreads;
+	// builds that don't name it send along the tree of the generation.
+	Origin string `json:"origin,omitempty"`
 	// Whole, if not nil, is the whole table after the change; the lists are then empty.
 	Whole *Table `json:"whole,omitempty"`
 }
--- a/tests/watchers/watchers_test.go
+++ b/tests/watchers/watchers_test.go
@@ -24,6 +24,7 @@
 	"runridge.example/runridge/modules/log"
 	"runridge.example/runridge/state/directory"
 	"runridge.example/runridge/state/rank"
+	"runridge.example/runridge/state/spread"
 	"runridge.example/runridge/state/table"
 )
 
@@ -228,7 +229,7 @@
 		})
 		b.follower = follow.New(follow.Config{
 			Self: name, Platform: b.door, Peers: b, Ranked: f.ranked, Settle: settle, Wait: tableWait,
-			FirstAtOnce: true, Reads: b.discoverer.Reading, Log: log.Discard(),
+			FirstAtOnce: true, Reads: b.discoverer.Reading, Turn: b.discoverer.Turn, Log: log.Discard(),
 		})
 		b.follower.OnChange(func(table.Table) { b.noteMoved() })
 		f.boxes[name] = b
@@ -243,11 +244,7 @@
 
 // run starts the boxes and the store's changes until the context ends.
 func (f *fleet) run(ctx context.Context) {
-	for _, b := range f.boxes {
-		go func() { _ = b.discoverer.Run(ctx) }()
-		go func() { _ = b.follower.Run(ctx) }()
-		go b.gossip(ctx)
-	}
+	f.start(ctx)
 	go func() {
 		for ctx.Err() == nil {
 			time.Sleep(changePeriod)
@@ -256,6 +253,15 @@
 	}()
 }
 
+// start starts the boxes.
+func (f *fleet) start(ctx context.Context) {
+	for _, b := range f.boxes {
+		go func() { _ = b.discoverer.Run(ctx) }()
+		go func() { _ = b.follower.Run(ctx) }()
+		go b.gossip(ctx)
+	}
+}
+
 func (b *box) gossip(ctx context.Context) {
 	for i := 0; ctx.Err() == nil; i++ {
 		time.Sleep(gossipPeriod)
@@ -479,3 +485,41 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+func TestOneBoxThatStandsStillHoldsChangesBackFromOthers(t *testing.T) {
+	// soon is enough for a read, the turns of two readers and the links between boxes.
+	const soon = 250 * time.Millisecond
+	for _, size := range []int{7, 60} {
+		t.Run(fmt.Sprintf("%d boxes", size), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(size)
+				ctx, end := context.WithCancel(t.Context())
+				f.start(ctx)
+				time.Sleep(startTime)
+				late := 0
+				for position := range size {
+					still := f.at(position)
+					still.door.set(silent)
+					still.setCut(true)
+					f.store.accept()
+					time.Sleep(soon)
+					newest, _ := f.store.state()
+					for _, b := range f.boxes {
+						if b != still && b.follower.Table().Version != newest {
+							late++
+						}
+					}
+					still.door.set(up)
+					still.setCut(false)
+					time.Sleep(3 * time.Second)
+				}
+				// Only boxes below one that forwards may have to ask.
+				if want := max(size-1-spread.Fanout, 0); late > want {
+					t.Errorf("%d times a box had a change late, want at most %d", late, want)
+				}
+				end()
+				time.Sleep(time.Minute)
+			})
+		})
+	}
+}
