Soak: boxes that reach the store are held to their bounds while it turns others away

Now the fault names the boxes, and only they are excused; in half of the events, by their draw, the store is silent towards them instead of resetting them.

check.TestJudge: a leaving endpoint that a box uses late while another one is turned away broke nothing before.

--- a/bench/soak/check/check.go
+++ b/bench/soak/check/check.go
@@ -37,6 +37,8 @@
 	Boxes []string
 	Place string
 	Store bool
+	// TurnedAway holds the boxes that the store turns away while it serves others.
+	TurnedAway []string
 	// Machine is true if the whole machine stalled, and with it every process.
 	Machine  bool
 	From, To time.Time
@@ -154,7 +156,7 @@
 	for extended := true; extended; {
 		extended = false
 		for _, f := range r.Faults {
-			blocks := f.Store || f.Machine || slices.Contains(f.Boxes, box)
+			blocks := f.Store || f.Machine || slices.Contains(f.Boxes, box) || slices.Contains(f.TurnedAway, box)
 			if !blocks || f.From.After(asked) || !f.To.After(accepted) {
 				continue
 			}
--- a/bench/soak/check/check_test.go
+++ b/bench/soak/check/check_test.go
@@ -132,6 +132,14 @@
 			Leaving: []Change{{Target: "plain1-1", At: at(0)}}, Observed: standin.LedgerSnapshot{Arrivals: []standin.Arrival{runArrival(id, 3100)}},
 			Faults: []Fault{{Store: true, From: at(-100), To: at(300)}},
 		}, ""},
+		"leaving endpoint, store turns the box away": {Record{
+			Leaving: []Change{{Target: "plain1-1", At: at(0)}}, Observed: standin.LedgerSnapshot{Arrivals: []standin.Arrival{runArrival(id, 3100)}},
+			Faults: []Fault{{TurnedAway: []string{"box-1"}, From: at(-100), To: at(300)}},
+		}, ""},
+		"leaving endpoint, store turns other boxes away": {Record{
+			Leaving: []Change{{Target: "plain1-1", At: at(0)}}, Observed: standin.LedgerSnapshot{Arrivals: []standin.Arrival{runArrival(id, 3100)}},
+			Faults: []Fault{{TurnedAway: []string{"box-2"}, From: at(-100), To: at(300)}},
+		}, "leaving_gets_no_work"},
 		"zone drained late": {Record{
 			Drained: []Change{{Target: "zone-a", At: at(0), RevertedAt: at(9000)}}, Observed: standin.LedgerSnapshot{Arrivals: []standin.Arrival{runArrival(id, 5100)}},
 		}, "drained_zone_gets_no_work"},
--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -117,6 +117,10 @@
 
 // storeFault applies a fault of the store while the event lasts.
 func (r *run) storeFault(ctx context.Context, e schedule.Event) {
+	if e.Kind == schedule.StoreRefusesSome {
+		r.refuseSome(ctx, e)
+		return
+	}
 	none := &standin.None{}
 	defer r.recordFault(check.Fault{Kind: string(e.Kind), Store: true})()
 	switch e.Kind {
@@ -127,12 +131,6 @@
 		defer func() { _ = r.site.call("DeafenStore", false, none) }()
 	case schedule.StoreSlow:
 		defer r.net.Apply(proxy.Match{Kind: proxy.Platform}, proxy.Fault{Delay: maxLinkDelay})()
-	case schedule.StoreRefusesSome:
-		for i := range r.boxes {
-			if e.Draw>>(i%64)&1 == 1 {
-				defer r.net.Apply(proxy.Match{Kind: proxy.Platform, From: boxName(i)}, proxy.Fault{Reset: true, Refuse: true})()
-			}
-		}
 	default:
 		_ = r.site.call("SetStore", storeFaults[e.Kind], none)
 		defer func() { _ = r.site.call("SetStore", standin.Healthy, none) }()
@@ -140,6 +138,30 @@
 	sleepUntil(ctx, time.Now().Add(e.For))
 }
 
+// silentBit is the bit of an event's draw that decides whether the store is silent towards the
+// boxes that it turns away; otherwise it resets their connections.
+const silentBit = 63
+
+// refuseSome has the store turn some boxes away while the event lasts. The others are held to the
+// bounds of a store that works.
+func (r *run) refuseSome(ctx context.Context, e schedule.Event) {
+	refused := make([]string, 0, len(r.boxes))
+	for i := range r.boxes {
+		if e.Draw>>(i%silentBit)&1 == 1 {
+			refused = append(refused, boxName(i))
+		}
+	}
+	fault := proxy.Fault{Reset: true, Refuse: true}
+	if e.Draw>>silentBit&1 == 1 {
+		fault = proxy.Fault{CutForth: true, CutBack: true}
+	}
+	defer r.recordFault(check.Fault{Kind: string(e.Kind), TurnedAway: refused})()
+	for _, name := range refused {
+		defer r.net.Apply(proxy.Match{Kind: proxy.Platform, From: name}, fault)()
+	}
+	sleepUntil(ctx, time.Now().Add(e.For))
+}
+
 const (
 	// A store that is restored from an older copy is first unavailable for minOutage plus
 	// a random part of outageJitter. rewriteDelay is how long after the restore the operator
--- a/bench/soak/judge.go
+++ b/bench/soak/judge.go
@@ -101,7 +101,7 @@
 func (r *run) overlapsOtherFault(index int) bool {
 	f := r.record.Faults[index]
 	for i, o := range r.record.Faults {
-		affects := len(o.Boxes) > 0 || o.Place != "" || o.Store || o.Machine
+		affects := len(o.Boxes) > 0 || o.Place != "" || o.Store || len(o.TurnedAway) > 0 || o.Machine
 		if i != index && affects && o.From.Before(f.To) && o.To.Add(check.EffectTime).After(f.From) {
 			return true
 		}
