--- a/tests/mutants/shared.go
+++ b/tests/mutants/shared.go
@@ -142,7 +142,7 @@
 	},
 	{
 		name: "all_read_at_once_when_readers_fall_silent", file: coverFile, pkg: coverTests, args: only("TestFleet"),
-		old: "time.Duration(max(p.Rank, 0))*takeoverStep", fault: "0*takeoverStep",
+		old: "time.Duration(max(p.standby()+1, 0))*takeoverStep", fault: "0*takeoverStep",
 	},
 	{
 		name: "all_try_while_the_platform_is_lost", file: coverFile, pkg: coverTests, args: only("TestFleet"),
