A box that starts takes no table older than one that two other boxes have named

Cause: a box with routed services put the first table that it read into force at once, though that read may be stale and the store restored from an older copy; and its wait of 0.3 s for other boxes ended with an older table although a newer one had been named, and with the word of a single box.

Now it waits until two other boxes have named their tables and none is newer, or for 0.5 s; with a newer one named it asks each box that names it, and gives up after 2 s. A box without others doesn't wait.

TestStartingBoxTakesTheTableOfTheFirstBoxItHears, TestStartingBoxStopsWaitingForANewerTableThatWasNamed: red before. TestFirstTable keeps its two cases; what opens at once is now a box that is alone, since the reads that were said to be never stale may be. TestStartWithoutDrainedZones took the time between table and drained zones for granted; it now checks that every answer until the drained zones are known is a refusal.

--- a/box/assemble.go
+++ b/box/assemble.go
@@ -69,17 +69,19 @@
 	b.router = home.NewRouter(s.Name, others)
 	b.setSpread([]member.Box{{Name: s.Name, Zone: s.Zone}})
 	b.follower = follow.New(follow.Config{
-		Self:        s.Name,
-		Platform:    b.platform,
-		Peers:       others,
-		Ranked:      b.nearRanked,
-		Tree:        b.tree,
-		Settle:      b.settle(),
-		FirstAtOnce: b.routed != nil,
-		Reads:       b.tableReads(),
-		Turn:        b.tableTurn(),
-		Wait:        b.tableWait(),
-		Log:         o.Log,
+		Self:     s.Name,
+		Platform: b.platform,
+		Peers:    others,
+		Ranked:   b.nearRanked,
+		Tree:     b.tree,
+		Settle:   b.settle(),
+		Alone:    b.alone,
+		Reads:    b.tableReads(),
+		Turn:     b.tableTurn(),
+		Wait:     b.tableWait(),
+		Log:      o.Log,
+
+		FirstMayBeStale: b.routed != nil,
 	})
 	owners := owner.New(owner.Config{
 		Members: func() members.Snapshot { return b.members.Snapshot() },
--- a/box/regions.go
+++ b/box/regions.go
@@ -55,6 +55,12 @@
 	return cover.Readers
 }
 
+// alone reports whether the platform's list of boxes was read and holds no other box.
+func (b *Box) alone() bool {
+	list := b.members.Snapshot().Listed
+	return list != nil && len(list) <= 1
+}
+
 // listed reports whether the platform's list of boxes was read and the boxes on it are in
 // force here.
 func (b *Box) listed() bool {
--- a/box/routed.go
+++ b/box/routed.go
@@ -76,10 +76,9 @@
 	// readyHeaderTimeout bounds the reading of the headers of one readiness check by the
 	// balancer.
 	readyHeaderTimeout = 2 * time.Second
-	// routedSettle is how long a starting box waits for a table, from the platform or from
-	// another box, where the platform's reads are never stale: a few round trips to a box
-	// and one retry.
-	routedSettle = 300 * time.Millisecond
+	// routedSettle is how long a starting box waits for other boxes to name their tables: a few
+	// round trips to a box and one retry.
+	routedSettle = 500 * time.Millisecond
 )
 
 // assembleRouted creates the parts for routed services.
--- a/coordination/follow/follow.go
+++ b/coordination/follow/follow.go
@@ -60,10 +60,12 @@
 	// Settle bounds how long a starting box waits for other boxes to name their tables
 	// before it puts its first table into force; 0 is defaultSettle.
 	Settle time.Duration
-	// FirstAtOnce puts the first table read into force without waiting for other boxes to
-	// name theirs.
-	FirstAtOnce bool
-	Log         log.Logger
+	// Alone reports whether there is no other box that could name a table; nil means that it isn't
+	// known.
+	Alone func() bool
+	// FirstMayBeStale lets the first read return a table that is some seconds old.
+	FirstMayBeStale bool
+	Log             log.Logger
 }
 
 const (
@@ -81,6 +83,12 @@
 	// turnStep is the extra delay, per rank, after which a reader sends a change, unless one before
 	// it has sent it by then.
 	turnStep = 100 * time.Millisecond
+	// minNamers is how many boxes have to name their tables before a box that starts puts one into
+	// force: a single one may have been cut off.
+	minNamers = 2
+	// settleFactor times Settle is how long such a box waits for a newer table that others have
+	// named.
+	settleFactor = 4
 	// maxHistory is the number of past tables kept to compute changes from.
 	maxHistory = 8
 	// minPullInterval prevents a pull with every message while this box is behind. pullGrace
@@ -93,10 +101,11 @@
 
 // Follower holds the table in force and keeps it up to date.
 type Follower struct {
-	cfg   Config
-	mutex sync.Mutex
-	table table.Table
-	since time.Time
+	cfg     Config
+	started time.Time
+	mutex   sync.Mutex
+	table   table.Table
+	since   time.Time
 	// history holds the previous tables, the newest last.
 	history       []table.Table
 	observers     []func(table.Table)
@@ -109,12 +118,16 @@
 	// pending is the newest table offered before the gate opened.
 	pending  table.Table
 	gateOpen bool
+	// namers holds the boxes that have named their tables, until the gate opens.
+	namers map[string]struct{}
 	// newestNamed is the stamp of the newest table that another box has named.
 	newestNamed table.Stamp
 	// behindSince is since when this box has known of a newer table than its own; zero means
 	// that it is not behind.
 	behindSince time.Time
-	lastPull    time.Time
+	// lastPull is when this box last asked another one, lastAsked, for a newer table.
+	lastPull  time.Time
+	lastAsked string
 	// forwarded is the stamp of the newest table that this box has sent on, and origin the box
 	// from which that table spreads.
 	forwarded table.Stamp
@@ -132,7 +145,7 @@
 	if cfg.Settle <= 0 {
 		cfg.Settle = defaultSettle
 	}
-	return &Follower{cfg: cfg, refresh: ring.New[struct{}](1)}
+	return &Follower{cfg: cfg, started: time.Now(), namers: make(map[string]struct{}), refresh: ring.New[struct{}](1)}
 }
 
 // Refresh makes the follower read the object again at once. It is called when the platform
@@ -205,7 +218,7 @@
 			f.pending = t
 		}
 		f.mutex.Unlock()
-		f.tryOpenGate(false)
+		f.tryOpenGate()
 		return table.Delta{}, false
 	}
 	defer f.mutex.Unlock()
--- a/coordination/follow/follow_test.go
+++ b/coordination/follow/follow_test.go
@@ -151,16 +151,16 @@
 
 func TestFirstTable(t *testing.T) {
 	cases := map[string]struct {
-		fresh bool
+		alone bool
 		want  uint64
 	}{
-		"reads that are never stale need no report from another box": {fresh: true, want: 5},
-		"a read that may be stale waits for it":                      {fresh: false, want: 0},
+		"a box without others needs no report from one": {alone: true, want: 5},
+		"a box that may have others waits for it":       {alone: false, want: 0},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			convey.Convey("When all boxes start at once, no box names a table", t, func() {
-				f, platform := startFollowerWith(t, Config{Settle: time.Hour, FirstAtOnce: c.fresh})
+				f, platform := startFollowerWith(t, Config{Settle: time.Hour, Alone: func() bool { return c.alone }})
 				(<-platform.calls).reply <- reply{object: object(t, 5)}
 				<-platform.calls
 				convey.So(f.Table().Generation, convey.ShouldEqual, c.want)
@@ -283,3 +283,64 @@
 		}
 	})
 }
+
+func TestStartingBoxTakesTheTableOfTheFirstBoxItHears(t *testing.T) {
+	const own, before = 16, 27
+	cases := map[string]struct {
+		// heard holds the generations that other boxes name, in order.
+		heard []uint64
+		want  uint64
+	}{
+		"nobody has named one":              {},
+		"only one that is as old":           {heard: []uint64{own}},
+		"one as old, then a newer one":      {heard: []uint64{own, before}},
+		"two, none newer":                   {heard: []uint64{own, own}, want: own},
+		"two that have just started":        {heard: []uint64{0, 0}, want: own},
+		"a newer one, then one that is old": {heard: []uint64{before, own}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			boxes := []string{"box-1", "box-2", "box-3", "box-4"}
+			f := New(Config{
+				Self: "box-1", Peers: silentPeers{}, Log: log.Discard(), FirstMayBeStale: true,
+				Ranked: func(string) []string { return boxes },
+			})
+			f.Offer(table.Table{Generation: own})
+			for i, generation := range c.heard {
+				f.Heard(boxes[i+1], table.Stamp{Generation: generation})
+			}
+			if got := f.Table().Generation; got != c.want {
+				t.Errorf("generation %d in force, want %d", got, c.want)
+			}
+		})
+	}
+}
+
+func TestStartingBoxStopsWaitingForANewerTableThatWasNamed(t *testing.T) {
+	const own, named = 16, 27
+	cases := map[string]struct {
+		after time.Duration
+		want  uint64
+	}{
+		"not yet":                {after: routedSettle, want: 0},
+		"its namer has vanished": {after: settleFactor * routedSettle, want: own},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f, platform := startFollowerWith(t, Config{Settle: routedSettle})
+				(<-platform.calls).reply <- reply{object: object(t, own)}
+				<-platform.calls
+				f.Heard("box-2", table.Stamp{Generation: named})
+				time.Sleep(c.after)
+				synctest.Wait()
+				if got := f.Table().Generation; got != c.want {
+					t.Errorf("generation %d in force after %v, want %d", got, c.after, c.want)
+				}
+			})
+		})
+	}
+}
+
+// routedSettle is the Settle of boxes with routed services.
+const routedSettle = 500 * time.Millisecond
--- a/coordination/follow/pass.go
+++ b/coordination/follow/pass.go
@@ -108,7 +108,7 @@
 	if f.noteNamed(from, stamp) {
 		time.AfterFunc(pullGrace, func() { f.noteNamed(from, stamp) })
 	}
-	f.tryOpenGate(false)
+	f.tryOpenGate()
 }
 
 // noteNamed records that another box has named its table. It pulls that table if it is due, and
@@ -116,6 +116,9 @@
 func (f *Follower) noteNamed(from string, stamp table.Stamp) (learnt bool) {
 	f.mutex.Lock()
 	f.newestNamed = f.newestNamed.Newer(stamp)
+	if !f.gateOpen {
+		f.namers[from] = struct{}{}
+	}
 	have := f.table.Stamp().Newer(f.pending.Stamp())
 	now := time.Now()
 	switch {
@@ -126,9 +129,11 @@
 	}
 	// A starting box has put nothing into force yet and pulls at once.
 	waited := !f.gateOpen || now.Sub(f.behindSince) >= pullGrace
-	ask := stamp.NewerThan(have) && waited && now.Sub(f.lastPull) >= minPullInterval
+	// The answer of one box may be lost, which must not delay a start.
+	another := !f.gateOpen && from != f.lastAsked
+	ask := stamp.NewerThan(have) && waited && (another || now.Sub(f.lastPull) >= minPullInterval)
 	if ask {
-		f.lastPull = now
+		f.lastPull, f.lastAsked = now, from
 	}
 	f.mutex.Unlock()
 	if ask {
@@ -137,17 +142,29 @@
 	return learnt && !ask
 }
 
-// tryOpenGate opens the gate, and puts the pending table into force, once that table is as
-// new as any that another box has named, or when late says that the wait is over. So a box
-// that starts from a stale read doesn't put an older table into force than the box that it
-// replaces had.
-func (f *Follower) tryOpenGate(late bool) {
+// tryOpenGate opens the gate, and puts the pending table into force, once enough other boxes have
+// named their tables and none is newer. So a box that starts from a stale read, or on a store
+// restored from an older copy, doesn't put an older table into force than the box that it replaces
+// had. After Settle it needs no more boxes, and after several times that it gives up on the newer
+// table.
+func (f *Follower) tryOpenGate() {
+	f.mutex.Lock()
+	open := f.gateOpen
+	f.mutex.Unlock()
+	if open {
+		return
+	}
+	others := len(f.cfg.Ranked(ObjectName)) - 1
+	alone := f.cfg.Alone != nil && f.cfg.Alone()
+	waited := time.Since(f.started)
 	f.mutex.Lock()
-	ready := f.pending.Generation > 0 && f.newestNamed.Generation > 0 && !f.newestNamed.NewerThan(f.pending.Stamp())
-	if f.gateOpen || !ready && !late || f.pending.Generation == 0 {
+	enough := alone || len(f.namers) >= min(minNamers, max(others, 1)) || waited >= f.cfg.Settle
+	ready := enough && !f.newestNamed.NewerThan(f.pending.Stamp()) || waited >= settleFactor*f.cfg.Settle
+	if f.gateOpen || !ready || f.pending.Generation == 0 {
 		f.mutex.Unlock()
 		return
 	}
+	clear(f.namers)
 	f.gateOpen = true
 	change, fresh := f.apply(f.pending)
 	f.mutex.Unlock()
--- a/coordination/follow/read.go
+++ b/coordination/follow/read.go
@@ -38,9 +38,10 @@
 
 // Run watches the platform's object until the context ends.
 func (f *Follower) Run(ctx context.Context) error {
-	settle := time.AfterFunc(f.cfg.Settle, func() { f.tryOpenGate(true) })
-	defer settle.Stop()
-	start := time.Now()
+	for _, wait := range []time.Duration{f.cfg.Settle, settleFactor * f.cfg.Settle} {
+		timer := time.AfterFunc(wait, f.tryOpenGate)
+		defer timer.Stop()
+	}
 	pauses := backoff.NewExponentialBackOff()
 	pauses.InitialInterval = initialBackoff
 	pauses.MaxInterval = maxBackoff
@@ -63,9 +64,7 @@
 			f.pause(ctx, pauses.NextBackOff(), err)
 			continue
 		}
-		if time.Since(start) > f.cfg.Settle {
-			f.tryOpenGate(true)
-		}
+		f.tryOpenGate()
 		if err == nil {
 			if version > 0 {
 				// Reading the object doesn't prove that it can be watched, so only a finished
@@ -153,9 +152,6 @@
 	if !old {
 		f.noteConfirmed(start)
 	}
-	if f.cfg.FirstAtOnce && version == 0 {
-		f.tryOpenGate(true)
-	}
 	return next, nil
 }
 
@@ -175,7 +171,7 @@
 
 // mayBeStale reports whether the object is read as it may have been some seconds ago.
 func (f *Follower) mayBeStale(version uint64) bool {
-	return version == 0 && f.cfg.FirstAtOnce && f.Table().Generation == 0
+	return version == 0 && f.cfg.FirstMayBeStale && f.Table().Generation == 0
 }
 
 // readObject reads the object, or waits for a newer version. A box without a table accepts
--- a/tests/routed/drain_test.go
+++ b/tests/routed/drain_test.go
@@ -153,11 +153,15 @@
 		door := s.store.NewDoor()
 		door.SetFault(standin.Silent, "evacuations")
 		b := s.startAt("box-3", door.Address())
-		s.eventually("the box has the rest", func() bool { return b.Table().Generation > 0 && b.Directory().Known() })
 		early := s.send(b, http.MethodGet, "/safe/x", "", nil)
 		convey.So(early.status, convey.ShouldEqual, http.StatusServiceUnavailable)
-		s.eventually("the box is ready", b.Ready)
+		s.eventually("the box serves", func() bool {
+			early = s.send(b, http.MethodGet, "/safe/x", "", nil)
+			return early.status != http.StatusServiceUnavailable
+		})
+		convey.So(early.status, convey.ShouldEqual, http.StatusOK)
 		convey.So(b.knowsDrained("zone-a"), convey.ShouldBeTrue)
+		s.eventually("the box is ready", b.Ready)
 		s.checkServed()
 		convey.So(s.arrivalsInZone("zone-a"), convey.ShouldEqual, 0)
 	})
--- a/tests/watchers/watchers_test.go
+++ b/tests/watchers/watchers_test.go
@@ -229,7 +229,7 @@
 		})
 		b.follower = follow.New(follow.Config{
 			Self: name, Platform: b.door, Peers: b, Ranked: f.ranked, Settle: settle, Wait: tableWait,
-			FirstAtOnce: true, Reads: b.discoverer.Reading, Turn: b.discoverer.Turn, Log: log.Discard(),
+			FirstMayBeStale: true, Reads: b.discoverer.Reading, Turn: b.discoverer.Turn, Log: log.Discard(),
 		})
 		b.follower.OnChange(func(table.Table) { b.noteMoved() })
 		f.boxes[name] = b
