--- a/state/cover/cover.go
+++ b/state/cover/cover.go
@@ -28,7 +28,7 @@
 	// Validity is how long an update of a reader keeps a box from reading itself. It is
 	// somewhat longer than the 600 ms that a reader waits for changes, after which it always
 	// sends an update.
-	Validity = 650 * time.Millisecond
+	Validity = 700 * time.Millisecond
 	// startTime is how long a box that knows no other box waits for the list of boxes before it
 	// assumes that it is the only one. The list is read again after 2 s.
 	startTime = 2500 * time.Millisecond
--- a/state/schedule/estimate_test.go
+++ b/state/schedule/estimate_test.go
@@ -8,16 +8,19 @@
 	"time"
 )
 
-// serve sends one ask every period for a time, lets each granted one run for as long as takes
+// askPeriod is the time between two asks of serve.
+const askPeriod = 200 * time.Millisecond
+
+// serve sends one ask every askPeriod for a time, lets each granted one run for as long as takes
 // says, and returns the share that was granted.
-func serve(g *Group, now time.Time, first uint64, period, length time.Duration, takes func(Ask) Report) (float64, time.Time) {
+func serve(g *Group, now time.Time, first uint64, length time.Duration, takes func(Ask) Report) (float64, time.Time) {
 	type running struct {
 		report Report
 		end    time.Time
 	}
 	var open []running
 	granted, asked := 0, 0
-	for end := now.Add(length); now.Before(end); now = now.Add(period) {
+	for end := now.Add(length); now.Before(end); now = now.Add(askPeriod) {
 		for len(open) > 0 && !open[0].end.After(now) {
 			g.Done(open[0].end, open[0].report)
 			open = open[1:]
@@ -51,16 +54,16 @@
 	for n := range uint64(2) {
 		g.Done(now, Report{ID: plainAsk(1000 + n).ID, Finished: true})
 	}
-	if share, _ := serve(g, now, 5000, 200*time.Millisecond, 10*time.Second, lasting(100*time.Millisecond)); share < minServedShare {
+	if share, _ := serve(g, now, 5000, 10*time.Second, lasting(100*time.Millisecond)); share < minServedShare {
 		t.Errorf("granted %.2f of the requests, want at least %.2f", share, minServedShare)
 	}
 }
 
 func TestFreeGroupRefusesAllAfterItsEndpointsWereSlow(t *testing.T) {
 	g, now := plainGroup(0)
-	_, now = serve(g, now, 5000, 200*time.Millisecond, 20*time.Second, lasting(2*time.Second))
-	_, now = serve(g, now, 6000, 200*time.Millisecond, 5*time.Second, lasting(100*time.Millisecond))
-	if share, _ := serve(g, now, 7000, 200*time.Millisecond, 10*time.Second, lasting(100*time.Millisecond)); share < minServedShare {
+	_, now = serve(g, now, 5000, 20*time.Second, lasting(2*time.Second))
+	_, now = serve(g, now, 6000, 5*time.Second, lasting(100*time.Millisecond))
+	if share, _ := serve(g, now, 7000, 10*time.Second, lasting(100*time.Millisecond)); share < minServedShare {
 		t.Errorf("granted %.2f of the requests, want at least %.2f", share, minServedShare)
 	}
 }
