A request that is to correct an estimate is started, not refused a moment later

The trials never ran in groups of plain requests: a request with a free slot passes the early refusal in any case, was not marked as a trial there, and the next step refused it by the same estimate.

Found by a deliberate fault that the test did not notice: its slow spell was too short to pass the target. It lasts two minutes now, and fails without the trial: 0 of 50 requests granted, before this commit as well.

--- a/state/schedule/estimate_test.go
+++ b/state/schedule/estimate_test.go
@@ -61,7 +61,7 @@
 
 func TestFreeGroupRefusesAllAfterItsEndpointsWereSlow(t *testing.T) {
 	g, now := plainGroup(0)
-	_, now = serve(g, now, 5000, 20*time.Second, lasting(2*time.Second))
+	_, now = serve(g, now, 5000, 2*time.Minute, lasting(2*time.Second))
 	_, now = serve(g, now, 6000, 5*time.Second, lasting(100*time.Millisecond))
 	if share, _ := serve(g, now, 7000, 10*time.Second, lasting(100*time.Millisecond)); share < minServedShare {
 		t.Errorf("granted %.2f of the requests, want at least %.2f", share, minServedShare)
--- a/state/schedule/refuse.go
+++ b/state/schedule/refuse.go
@@ -46,10 +46,11 @@
 		}
 		return Refusal{}, false
 	}
+	if w.trial = g.isTrial(w, t); w.trial {
+		return Refusal{}, false
+	}
 	if wait := g.waitNS(w, t); t+wait+w.idleNS > w.deadline && !g.startsInTime(w, t) {
-		if w.trial = g.isTrial(w, t); !w.trial {
-			return refuse(lifecycle.ReasonTargetUnreachable, wait, wait)
-		}
+		return refuse(lifecycle.ReasonTargetUnreachable, wait, wait)
 	}
 	return Refusal{}, false
 }
