--- a/tests/mutants/late.go
+++ b/tests/mutants/late.go
@@ -15,7 +15,7 @@
 	},
 	{
 		name: "silent_readers_replaced_late", file: coverFile, pkg: "./tests/watchers", args: only("TestTablesStallWhileWatchersLoseTheStore"),
-		old: "Validity = 700 * time.Millisecond", fault: "Validity = 1100 * time.Millisecond",
+		old: "Validity = 700 * time.Millisecond", fault: "Validity = 2000 * time.Millisecond",
 	},
 	{
 		name: "table_watched_from_its_own_revision", file: "platform/platform.go", pkg: "./platform", args: only("TestTableThatIsOlderThanTheStoresHistoryCannotBeWatched"),
