--- a/coordination/follow/follow_test.go
+++ b/coordination/follow/follow_test.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -214,10 +215,10 @@
 // pullCounter counts the pulls that a box sends.
 type pullCounter struct {
 	silentPeers
-	asked *int
+	asked *atomic.Int64
 }
 
-func (p pullCounter) SendPull(string, table.Stamp) { *p.asked++ }
+func (p pullCounter) SendPull(string, table.Stamp) { p.asked.Add(1) }
 
 func TestNewerTablesAreAskedFor(t *testing.T) {
 	cases := map[string]struct {
@@ -239,13 +240,13 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				asked := 0
+				var asked atomic.Int64
 				f := New(Config{Self: "box-1", Peers: pullCounter{asked: &asked}, Ranked: func(string) []string { return nil }, Log: log.Discard()})
 				f.gateOpen = !c.starts
 				f.Offer(table.Table{Generation: c.have})
 				f.Heard("box-2", table.Stamp{Generation: c.heard})
-				if c.starts != (asked == 1) {
-					t.Errorf("asked at once: %v", asked == 1)
+				if c.starts != (asked.Load() == 1) {
+					t.Errorf("asked at once: %v", asked.Load() == 1)
 				}
 				for k := range 5 {
 					if c.comes && k == 2 {
@@ -254,8 +255,8 @@
 					f.Heard("box-2", table.Stamp{Generation: c.heard})
 					time.Sleep(100 * time.Millisecond)
 				}
-				if asked != c.want {
-					t.Errorf("asked %d times, want %d", asked, c.want)
+				if got := int(asked.Load()); got != c.want {
+					t.Errorf("asked %d times, want %d", got, c.want)
 				}
 			})
 		})
@@ -264,22 +265,22 @@
 
 func TestNewerTableNamedOnceIsNotAskedFor(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		asked := 0
+		var asked atomic.Int64
 		f := New(Config{Self: "box-1", Peers: pullCounter{asked: &asked}, Ranked: func(string) []string { return nil }, Log: log.Discard()})
 		f.gateOpen = true
 		f.Offer(table.Table{Generation: 4})
 		f.Heard("box-2", table.Stamp{Generation: 5})
 		time.Sleep(2 * pullGrace)
 		synctest.Wait()
-		if asked != 1 {
-			t.Errorf("asked %d times, want once", asked)
+		if got := asked.Load(); got != 1 {
+			t.Errorf("asked %d times, want once", got)
 		}
 		f.Offer(table.Table{Generation: 5})
 		f.Heard("box-2", table.Stamp{Generation: 6})
 		f.Offer(table.Table{Generation: 6})
 		time.Sleep(2 * pullGrace)
-		if asked != 1 {
-			t.Errorf("asked %d times after the table had arrived, want once", asked)
+		if got := asked.Load(); got != 1 {
+			t.Errorf("asked %d times after the table had arrived, want once", got)
 		}
 	})
 }
