The readers' turns to send are worked out in one place

Behaviour is the same: a box that isn't a reader had no wait in discover; in follow such a box never sends by rank.

Run: the race detector on state/cover, coordination/discover, coordination/follow, tests/mutants, tests/layout, and tests/watchers without it, all green. TestChangesAreAnnouncedOnce keeps its bounds under the new name.

--- a/coordination/discover/share.go
+++ b/coordination/discover/share.go
@@ -114,21 +114,9 @@
 	d.exchange.cover = d.exchange.cover.WithRead(time.Now(), place, worked, rand.Float64())
 }
 
-// standbyStep is the extra delay, per rank, after which a further reader announces what it
-// has read, unless another one has announced it by then; it covers some round trips
-// between boxes. When all three readers announced at once, each change was sent three
-// times to all boxes, because a change ends the waits of all three.
-const standbyStep = 100 * time.Millisecond
-
 // Turn returns how long this box leaves it to the readers before it in rank to send what it has
 // read too.
-func (d *Discoverer) Turn() time.Duration {
-	place := d.place(d.cfg.Self)
-	if !place.Reader() {
-		return 0
-	}
-	return time.Duration(place.Rank) * standbyStep
-}
+func (d *Discoverer) Turn() time.Duration { return d.place(d.cfg.Self).Turn() }
 
 // announce sends what this box has read from the platform to the others, if it reads for
 // them: at once if it is the first reader or a stand-in for the readers.
--- a/coordination/discover/share_test.go
+++ b/coordination/discover/share_test.go
@@ -123,8 +123,8 @@
 		within time.Duration
 	}{
 		"the first reader announces":     {within: 0},
-		"the second one in its place":    {silent: 1, within: standbyStep},
-		"the third one in place of both": {silent: 2, within: 2 * standbyStep},
+		"the second one in its place":    {silent: 1, within: cover.TurnStep},
+		"the third one in place of both": {silent: 2, within: 2 * cover.TurnStep},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/coordination/follow/follow.go
+++ b/coordination/follow/follow.go
@@ -80,9 +80,6 @@
 	// roleCheckInterval is how often a box checks whether it has become one of the boxes
 	// that watch the platform.
 	roleCheckInterval = 200 * time.Millisecond
-	// turnStep is the extra delay, per rank, after which a reader sends a change, unless one before
-	// it has sent it by then.
-	turnStep = 100 * time.Millisecond
 	// minNamers is how many boxes have to name their tables before a box that starts puts one into
 	// force: a single one may have been cut off.
 	minNamers = 2
--- a/coordination/follow/pass.go
+++ b/coordination/follow/pass.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"runridge.example/runridge/state/cover"
 	"runridge.example/runridge/state/spread"
 	"runridge.example/runridge/state/table"
 )
@@ -34,8 +35,7 @@
 	if f.cfg.Turn != nil {
 		return f.cfg.Turn()
 	}
-	rank := slices.Index(f.cfg.Ranked(ObjectName), f.cfg.Self)
-	return time.Duration(max(rank, 0)) * turnStep
+	return cover.Place{Rank: slices.Index(f.cfg.Ranked(ObjectName), f.cfg.Self)}.Turn()
 }
 
 // forward sends a change to this box's children in the region's tree, whose root is the origin,
--- a/state/cover/cover.go
+++ b/state/cover/cover.go
@@ -39,6 +39,11 @@
 	// maxTakeoverDelay bounds that delay: with Validity, a box that is cut off from all others
 	// reads the platform well within a second.
 	maxTakeoverDelay = 150 * time.Millisecond
+	// TurnStep is the extra delay, per rank, after which a further reader sends what it has read,
+	// unless another one has sent it by then; it covers some round trips between boxes. When all
+	// three readers sent at once, each change went three times to all boxes, because a change ends
+	// the waits of all three.
+	TurnStep = 100 * time.Millisecond
 	// standbys is how many boxes, the next in rank after the readers, try to replace them at
 	// once even if a reader has lost the platform.
 	standbys = 16
@@ -65,6 +70,15 @@
 // Reader reports whether the box at this place always reads.
 func (p Place) Reader() bool { return p.Rank >= 0 && p.Rank < cmp.Or(p.Readers, Readers) }
 
+// Turn returns how long a box at this place leaves it to the readers before it to send what it has
+// read too; 0 for a box that isn't a reader, since it reads in their place.
+func (p Place) Turn() time.Duration {
+	if !p.Reader() {
+		return 0
+	}
+	return time.Duration(p.Rank) * TurnStep
+}
+
 // Cover is what a box knows of the boxes that read the platform for it.
 type Cover struct {
 	// started is when the box started, and updated when the last update of a reader arrived.
