The log of an ejection names the box that reported and when others were last answered

engine_ejected said that an engine is out for all, not by whose report, nor that others reach it. Homes keep, for each engine, the last two boxes whose requests ended well there. Endpoint connections can be opened by a function of the options, so that tests cut one box off. No decision changed.

--- a/box/box.go
+++ b/box/box.go
@@ -41,6 +41,7 @@
 	"runridge.example/runridge/transport/enginehttp"
 	"runridge.example/runridge/transport/plainhttp"
 	"runridge.example/runridge/transport/platformhttp"
+	"runridge.example/runridge/transport/reach"
 )
 
 // Options are what the command and tests may set in addition to the settings.
@@ -65,6 +66,9 @@
 	// HeldBytes bounds the data held in memory for callers; 0 means a fraction of the box's
 	// memory.
 	HeldBytes int64
+	// DialEndpoint opens connections to the addresses of endpoints of routed services; nil means
+	// over TCP.
+	DialEndpoint reach.Dial
 	// PollBoxes is how often the platform's list of boxes is read.
 	PollBoxes time.Duration
 }
--- a/box/quarantine.go
+++ b/box/quarantine.go
@@ -17,7 +17,7 @@
 func (b *Box) newQuarantine() *quarantine.Keeper {
 	return quarantine.New(quarantine.Config{
 		Self:          b.settings.Name,
-		Prober:        reach.Prober{},
+		Prober:        reach.Prober{Dial: b.options.DialEndpoint},
 		Find:          b.findEndpoint,
 		Peers:         b.others,
 		Ranked:        b.nearRanked,
--- a/box/routed.go
+++ b/box/routed.go
@@ -85,7 +85,7 @@
 func (b *Box) assembleRouted(names relayapi.Names) {
 	s := b.settings.Relay
 	r := b.routed
-	r.endpoints = upstream.New(upstream.Config{Names: names, Share: b.connectionShare, Notices: b.notices})
+	r.endpoints = upstream.New(upstream.Config{Names: names, Share: b.connectionShare, Notices: b.notices, Dial: b.options.DialEndpoint})
 	r.discoverer = discover.New(discover.Config{
 		Source:        r.platform,
 		OnChange:      b.setDirectory,
--- a/coordination/home/answer.go
+++ b/coordination/home/answer.go
@@ -44,9 +44,15 @@
 // logEjections logs the engines that a group has ejected.
 func (h *Homes) logEjections(group string, g *runningGroup) {
 	for _, e := range g.Ejections() {
+		otherAnswered := int64(-1)
+		if e.OtherAnswered >= 0 {
+			otherAnswered = e.OtherAnswered.Milliseconds()
+		}
 		h.cfg.Log.WithFields(log.Fields{
 			log.FieldEngine: e.Engine,
 			"group":         group,
+			"reported_by":   e.Box,
+			"other_ms_ago":  otherAnswered,
 			"for_ms":        e.For.Milliseconds(),
 			"unreached":     e.Unreachable,
 			"results_lost":  e.ResultsLost,
--- a/state/schedule/group.go
+++ b/state/schedule/group.go
@@ -67,6 +67,8 @@
 	warmSpeed   learnedSpeed
 	pacedWindow pace.Window
 	limit       engineLimitState
+	// observers tells whether other boxes reach the engine.
+	observers health.Observers
 	// leavingUntil is the time until which the engine counts as leaving because boxes reported
 	// it.
 	leavingUntil int64
--- a/state/schedule/group_test.go
+++ b/state/schedule/group_test.go
@@ -312,7 +312,7 @@
 		g := New(config(2, 6), start)
 		for round := range 40 {
 			for i := 2; i < 8; i++ {
-				g.recordFailure(start.Add(time.Duration(round)*time.Millisecond), Report{Failed: fmt.Sprintf("e%d", i)})
+				g.recordFailure(start.Add(time.Duration(round)*time.Millisecond), "b", Report{Failed: fmt.Sprintf("e%d", i)})
 			}
 		}
 		out := 0
--- a/state/schedule/learn.go
+++ b/state/schedule/learn.go
@@ -28,6 +28,7 @@
 		e.prefillFactor = e.prefillFactor.With(expected, worked)
 	}
 	g.noteDecodeSent(t, gr)
+	e.observers = e.observers.WithSuccess(now, gr.ask.Box)
 	e.breaker = e.breaker.WithSuccess(0)
 	g.dequeuePrefill(t, gr.prefill, id)
 	g.refresh(gr.prefill)
@@ -94,7 +95,7 @@
 	case r.Failed != "" && r.Full && g.cfg.GrowingMemory:
 		g.noteFull(sinceStart(g.start, now), gr, r.Failed)
 	case r.Failed != "":
-		g.recordFailure(now, r)
+		g.recordFailure(now, gr.ask.Box, r)
 	}
 	if !r.Finished || gr.decode == none {
 		g.endTrials(gr)
@@ -103,6 +104,7 @@
 	g.learnedAt = sinceStart(g.start, now)
 	g.learnService(gr, time.Duration(g.learnedAt-gr.grantedAt))
 	e := &g.engines[gr.decode]
+	e.observers = e.observers.WithSuccess(now, gr.ask.Box)
 	e.breaker = e.breaker.WithSuccess(g.errorRatio)
 	g.errorRatio -= g.errorRatio * errorWeight
 	if gr.prefill != none {
@@ -189,7 +191,7 @@
 // recordFailure records a failed request on an engine. An engine that cannot be connected to is
 // ejected at once. Errors that it answered itself, and rejections because it is full, count
 // less the more common they are in the group: under overload all endpoints reject requests.
-func (g *Group) recordFailure(now time.Time, r Report) {
+func (g *Group) recordFailure(now time.Time, box string, r Report) {
 	name, usual := r.Failed, 0.0
 	if r.Answered || r.Full {
 		usual = g.errorRatio
@@ -217,11 +219,24 @@
 	was := e.breaker.EjectedFor(now)
 	e.breaker = e.breaker.WithFailure(now, rules, health.Failure{Usual: usual, Others: ejected, Total: total + 1}, g.random)
 	if is := e.breaker.EjectedFor(now); is > was {
-		g.ejections = append(g.ejections, Ejection{Engine: name, For: is, Unreachable: r.Unreachable, OthersEjected: ejected, Others: total})
+		g.ejections = append(g.ejections, Ejection{
+			Engine: name, For: is, Unreachable: r.Unreachable, Box: box, OtherAnswered: e.otherAnswered(now, box),
+			OthersEjected: ejected, Others: total,
+		})
 	}
 	g.marks.Forget(name)
 }
 
+// otherAnswered returns how long ago a request of another box last ended well at the engine; -1 if
+// none did.
+func (e *engine) otherAnswered(now time.Time, box string) time.Duration {
+	ago, answered := e.observers.OtherAnswered(now, box)
+	if !answered {
+		return -1
+	}
+	return ago
+}
+
 // Ejections returns the ejections since the last call.
 func (g *Group) Ejections() []Ejection {
 	out := g.ejections
--- a/state/schedule/memory_test.go
+++ b/state/schedule/memory_test.go
@@ -104,9 +104,9 @@
 func TestUnreachableEngineIsEjectedAtOnce(t *testing.T) {
 	convey.Convey("One refused connection ejects an engine, one failure does not", t, func() {
 		g := growingGroup(3, 100_000)
-		g.recordFailure(start, Report{Failed: "a"})
+		g.recordFailure(start, "b", Report{Failed: "a"})
 		convey.So(g.engines[1].breaker.Ejected(start), convey.ShouldBeFalse)
-		g.recordFailure(start, Report{Failed: "b", Unreachable: true})
+		g.recordFailure(start, "b", Report{Failed: "b", Unreachable: true})
 		convey.So(g.engines[2].breaker.Ejected(start), convey.ShouldBeTrue)
 		ejections := g.Ejections()
 		convey.So(ejections, convey.ShouldHaveLength, 1)
--- a/state/schedule/result.go
+++ b/state/schedule/result.go
@@ -55,5 +55,5 @@
 	rules.Failures, rules.MaxOutShare = 1, 1
 	e := &g.engines[gr.prefill]
 	e.resultBreaker = e.resultBreaker.WithFailure(now, rules, health.Failure{Total: 1}, g.random)
-	g.ejections = append(g.ejections, Ejection{Engine: e.spec.Name, For: e.resultBreaker.EjectedFor(now), ResultsLost: true})
+	g.ejections = append(g.ejections, Ejection{Engine: e.spec.Name, For: e.resultBreaker.EjectedFor(now), Box: gr.ask.Box, OtherAnswered: e.otherAnswered(now, gr.ask.Box), ResultsLost: true})
 }
--- a/state/schedule/types.go
+++ b/state/schedule/types.go
@@ -311,6 +311,10 @@
 	For    time.Duration
 	// Unreachable is true if no connection to the engine could be made.
 	Unreachable bool
+	// Box is the box whose report ejected the engine, and OtherAnswered how long ago a request of
+	// another box last ended well there; -1 if none did.
+	Box           string
+	OtherAnswered time.Duration
 	// ResultsLost is true if the engine only gets no prefills, because its results were lost.
 	ResultsLost bool
 	// OthersEjected is how many of the Others, the other engines of its role, were ejected already.
--- a/transport/reach/reach.go
+++ b/transport/reach/reach.go
@@ -18,21 +18,34 @@
 // seconds for a request.
 const openTime = 250 * time.Millisecond
 
+// Dial opens a connection to an address.
+type Dial func(ctx context.Context, address string) (net.Conn, error)
+
 // Prober probes endpoints.
-type Prober struct{}
+type Prober struct {
+	// Dial opens connections; nil means over TCP.
+	Dial Dial
+}
 
 // Listens connects to an address once, sends nothing and checks whether the connection stays open.
 // It returns nil if it does, otherwise the error of the dial or how the connection ended. A deadline
 // of the context shortens the check.
-func (Prober) Listens(ctx context.Context, address string) error {
-	var dialer net.Dialer
-	c, err := dialer.DialContext(ctx, "tcp", address)
+func (p Prober) Listens(ctx context.Context, address string) error {
+	c, err := p.dial(ctx, address)
 	if err != nil {
 		return err
 	}
 	return errors.Join(staysOpen(ctx, c), c.Close())
 }
 
+func (p Prober) dial(ctx context.Context, address string) (net.Conn, error) {
+	if p.Dial != nil {
+		return p.Dial(ctx, address)
+	}
+	var dialer net.Dialer
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
 // staysOpen returns an error if a connection ends within openTime. Without this check a forwarder
 // hides that the endpoint behind it has ended: in TestPoisonBehindForwarders 12 attempts of one
 // request ended 12 endpoints, and none was detected.
--- a/transport/upstream/upstream.go
+++ b/transport/upstream/upstream.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -20,6 +21,7 @@
 	"runridge.example/runridge/coordination/relay"
 	"runridge.example/runridge/modules/socket"
 	"runridge.example/runridge/protocol/relayapi"
+	"runridge.example/runridge/transport/reach"
 )
 
 const (
@@ -44,6 +46,8 @@
 	Share func(service string) int
 	// Notices receives the notices in endpoints' answers; nil drops them.
 	Notices *notice.Keeper
+	// Dial opens a connection to the address of an endpoint; nil means over TCP.
+	Dial reach.Dial
 }
 
 // Client sends requests to endpoints.
@@ -71,6 +75,11 @@
 
 // New returns a client for cfg.
 func New(cfg Config) *Client {
+	if cfg.Dial == nil {
+		timeouts := socket.Timeouts{Dial: dialTimeout, Unacknowledged: ackTimeout, KeepAlive: probeInterval, Probes: probes}
+		dialer := timeouts.Dialer()
+		cfg.Dial = func(ctx context.Context, address string) (net.Conn, error) { return dialer.DialContext(ctx, "tcp", address) }
+	}
 	return &Client{cfg: cfg, pools: make(map[poolKey]*pool)}
 }
 
@@ -168,9 +177,8 @@
 
 // dial opens the connection for which pop reserved capacity. Failures are adapter.ErrNotRun.
 func (c *Client) dial(ctx context.Context, key poolKey, e relay.Endpoint) (*conn, error) {
-	timeouts := socket.Timeouts{Dial: dialTimeout, Unacknowledged: ackTimeout, KeepAlive: probeInterval, Probes: probes}
 	begin := time.Now()
-	raw, err := timeouts.Dialer().DialContext(ctx, "tcp", e.Address)
+	raw, err := c.cfg.Dial(ctx, e.Address)
 	if err != nil {
 		c.closed(key)
 		return nil, adapter.ErrNotRun.Wrap(err, "endpoint %s", e.ID)
