--- a/tests/routed/site_test.go
+++ b/tests/routed/site_test.go
@@ -27,6 +27,7 @@
 	"runridge.example/runridge/platform"
 	"runridge.example/runridge/platform/standin"
 	"runridge.example/runridge/state/pace"
+	"runridge.example/runridge/transport/reach"
 )
 
 // patience is the time limit of every wait in these tests.
@@ -46,6 +47,9 @@
 	coldLimit pace.Bound
 	// heldLimit is how much boxes may buffer for callers, in bytes; 0 selects their default.
 	heldLimit int64
+	// dialEndpoint has, by the box's name, how boxes open connections to endpoints; others do over
+	// TCP.
+	dialEndpoint map[string]reach.Dial
 	// laterBuild makes each box receive the messages of the others as a later build would send them.
 	laterBuild bool
 	// logs collects the log lines of all boxes.
@@ -163,7 +167,7 @@
 			Stages: setting.StagesPlanned, PrefillPart: 0.25, LeaseMS: 400, ThawMS: 50,
 			ColdOverage: s.coldLimit.Overage, ColdSlack: s.coldLimit.Slack,
 		},
-	}, box.Options{Log: logger, Platform: platform.New(store), Names: &names, HeldBytes: s.heldLimit})
+	}, box.Options{Log: logger, Platform: platform.New(store), Names: &names, HeldBytes: s.heldLimit, DialEndpoint: s.dialEndpoint[name]})
 	if err != nil {
 		s.t.Fatal(err)
 	}
--- a/transport/upstream/upstream.go
+++ b/transport/upstream/upstream.go
@@ -78,7 +78,9 @@
 	if cfg.Dial == nil {
 		timeouts := socket.Timeouts{Dial: dialTimeout, Unacknowledged: ackTimeout, KeepAlive: probeInterval, Probes: probes}
 		dialer := timeouts.Dialer()
-		cfg.Dial = func(ctx context.Context, address string) (net.Conn, error) { return dialer.DialContext(ctx, "tcp", address) }
+		cfg.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+			return dialer.DialContext(ctx, "tcp", address)
+		}
 	}
 	return &Client{cfg: cfg, pools: make(map[poolKey]*pool)}
 }
