--- a/box/assemble.go
+++ b/box/assemble.go
@@ -56,6 +56,7 @@
 		Handler:     b.receive,
 		OnRefused:   func(box string) { b.members.Refused(box) },
 		DistanceTo:  b.distanceTo,
+		Endpoints:   b.endpoints(),
 		Log:         o.Log,
 	})
 	others := peers{
--- a/box/box.go
+++ b/box/box.go
@@ -263,12 +263,12 @@
 func (b *Box) ReceiveStamp(from string, own table.Stamp) { b.follower.Heard(from, own) }
 
 // Active returns the number of requests in flight, including those whose callers have not
-// read the whole answer yet.
+// read the whole answer yet and those of other boxes that go through this one.
 func (b *Box) Active() int {
 	if b.routed == nil {
 		return b.dispatch.Active()
 	}
-	return b.dispatch.Active() + b.routed.relay.Active() + b.routed.server.Delivering()
+	return b.dispatch.Active() + b.routed.relay.Active() + b.routed.server.Delivering() + b.net.Tunnels()
 }
 
 // PendingReleases returns the number of holds whose release is not acknowledged yet.
--- a/box/routed.go
+++ b/box/routed.go
@@ -85,7 +85,18 @@
 func (b *Box) assembleRouted(names relayapi.Names) {
 	s := b.settings.Relay
 	r := b.routed
-	r.endpoints = upstream.New(upstream.Config{Names: names, Share: b.connectionShare, Notices: b.notices, Dial: b.options.DialEndpoint})
+	r.endpoints = upstream.New(upstream.Config{
+		Names:   names,
+		Share:   b.connectionShare,
+		Notices: b.notices,
+		Dial:    b.options.DialEndpoint,
+		Box:     b.settings.Name,
+		Zone:    b.settings.Zone,
+		ZoneOf:  b.zoneOf,
+		Peers:   tunnelPeers{b},
+		Metrics: b.metrics,
+		Log:     b.options.Log,
+	})
 	r.discoverer = discover.New(discover.Config{
 		Source:        r.platform,
 		OnChange:      b.setDirectory,
--- a/box/run.go
+++ b/box/run.go
@@ -86,6 +86,7 @@
 	b.stopping.Store(true)
 	b.members.Leave()
 	b.homes.Leave()
+	b.net.CloseTunnels()
 	b.leaveRouted()
 	b.options.Log.WithFields(log.Fields{"active": b.Active()}).Info("box_leaving")
 	sleep.For(ctx, time.Duration(b.lingerMS.Load())*time.Millisecond)
--- a/coordination/adapter/broken.go
+++ b/coordination/adapter/broken.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"os"
 	"syscall"
@@ -35,6 +36,9 @@
 	// BreakOwn means that this box ended the exchange, because the caller disconnected or
 	// the request's deadline had passed.
 	BreakOwn Break = "own"
+	// BreakPath means that this box ended the exchange because it no longer reaches the endpoint,
+	// which other boxes reach.
+	BreakPath Break = "path"
 	// BreakOther is anything else, such as bytes that aren't a valid answer.
 	BreakOther Break = "other"
 )
@@ -47,11 +51,55 @@
 // have answered.
 var ErrStale = errors.New("connection had already ended")
 
+// ErrPathLost marks an exchange that this box ended because it no longer reaches the endpoint, while
+// another box does.
+var ErrPathLost = errors.New("path to the endpoint is lost")
+
+// UnreachedError is the error of a connection to an endpoint that could not be made, neither directly
+// nor through other boxes.
+type UnreachedError struct {
+	// Others is the number of other boxes that did not reach the endpoint either.
+	Others int
+	// Known reports that nothing was tried, because a moment ago the endpoint was not reached.
+	Known bool
+	// Err is how the direct path failed.
+	Err error
+}
+
+// Error describes how the connection failed.
+func (e *UnreachedError) Error() string {
+	if e.Known {
+		return "endpoint was not reached a moment ago"
+	}
+	return fmt.Sprintf("endpoint not reached, nor by %d other boxes: %v", e.Others, e.Err)
+}
+
+// Unwrap returns how the direct path failed.
+func (e *UnreachedError) Unwrap() error { return e.Err }
+
+// UnreachedOf returns the UnreachedError that an error was caused by, or nil.
+func UnreachedOf(err error) *UnreachedError {
+	var unreached *UnreachedError
+	if errors.As(cause(err), &unreached) {
+		return unreached
+	}
+	return nil
+}
+
+// cause returns what a typed error was caused by: a typed error hides that from errors.Is.
+func cause(err error) error {
+	for typed := errorx.Cast(err); typed != nil && typed.Cause() != nil; typed = errorx.Cast(err) {
+		err = typed.Cause()
+	}
+	return err
+}
+
 // breaks maps errors to kinds of interruption; the first match counts.
 var breaks = []struct {
 	err  error
 	kind Break
 }{
+	{ErrPathLost, BreakPath},
 	{ErrStale, BreakStale},
 	{context.Canceled, BreakOwn},
 	{context.DeadlineExceeded, BreakSilent},
@@ -69,10 +117,7 @@
 	if err == nil {
 		return BreakNone
 	}
-	// A typed error hides its cause from errors.Is.
-	for typed := errorx.Cast(err); typed != nil && typed.Cause() != nil; typed = errorx.Cast(err) {
-		err = typed.Cause()
-	}
+	err = cause(err)
 	for _, b := range breaks {
 		if errors.Is(err, b.err) {
 			return b.kind
--- a/coordination/relay/budget_test.go
+++ b/coordination/relay/budget_test.go
@@ -31,6 +31,8 @@
 	return &Answer{Status: http.StatusOK, Signed: true, Body: http.NoBody}, nil
 }
 
+func (e *failingEndpoints) Unreached(string) []string { return nil }
+
 func (e *failingEndpoints) Free(context.Context, Endpoint, string) error { return nil }
 
 // TestUnreachedEndpointsSpendNoBudget guards against refusing a request that no endpoint has
--- a/coordination/relay/exchange.go
+++ b/coordination/relay/exchange.go
@@ -106,7 +106,7 @@
 	}
 	h.prefills++
 	call := h.newCall(engine)
-	call.Prefill = true
+	call.Prefill, call.Repeatable = true, true
 	call.LastEvent = ""
 	bounded, cancel := context.WithTimeout(ctx, time.Duration(float64(h.route.Target())*prefillTimeoutFactor))
 	defer cancel()
@@ -203,7 +203,7 @@
 	}
 	h.sends++
 	call := h.newCall(e)
-	call.Source = source
+	call.Source, call.Repeatable = source, h.route.Idempotent()
 	h.sentAt = h.relay.cfg.Now()
 	answer, err := h.relay.cfg.Endpoints.Send(ctx, call)
 	unreached := err != nil && adapter.RanOf(err) == lifecycle.NotRun
@@ -217,6 +217,7 @@
 		h.runs++
 		return h.noteBreak(ctx, err, result{kind: failed, endpoint: id, silent: true, reason: "endpoint_unanswered"})
 	}
+	h.via = answer.Via
 	if answer.NotRun {
 		h.noteAddressTaken(answer, e)
 		_ = answer.Discard()
@@ -238,6 +239,9 @@
 // timed out.
 func (h *handler) noteBreak(ctx context.Context, err error, res result) result {
 	res.broke, res.ran = adapter.BreakOf(err), h.relay.cfg.Now().Sub(h.sentAt)
+	if unreached := adapter.UnreachedOf(err); unreached != nil {
+		res.others, res.known = unreached.Others, unreached.Known
+	}
 	if ctx.Err() != nil {
 		res.broke, res.endpoint = adapter.BreakOwn, ""
 	}
--- a/coordination/relay/paced_test.go
+++ b/coordination/relay/paced_test.go
@@ -26,7 +26,8 @@
 		{ID: "cold", Service: "s", Stage: directory.StageDecode, ColdFor: time.Minute},
 	}
 	r := New(Config{
-		Log: log.Discard(), ColdBound: bound, Now: func() time.Time { return now },
+		Endpoints: &failingEndpoints{},
+		Log:       log.Discard(), ColdBound: bound, Now: func() time.Time { return now },
 		Directory: &staticDirectory{directory.Directory{}.WithList(now, 1, entries)},
 	})
 	return &handler{relay: r, service: table.Service{Name: "s", ColdPace: 1}}
@@ -167,7 +168,8 @@
 		endpoints, caller := &countingEndpoints{}, &recordingCaller{}
 		d := directory.Directory{}.WithList(time.Now(), 1, []directory.Entry{{ID: "e-n1", Service: "s", Zone: "n1"}})
 		r := New(Config{
-			Zone: "n1", Homes: &grantingHomes{groupsWithoutHomes: allOne}, Directory: &staticDirectory{d}, Endpoints: endpoints, Log: log.Discard(),
+			Endpoints: endpoints,
+			Zone:      "n1", Homes: &grantingHomes{groupsWithoutHomes: allOne}, Directory: &staticDirectory{d}, Log: log.Discard(),
 			Notices: notice.New(notice.Config{Log: log.Discard()}), NextID: func() lifecycle.RequestID { return lifecycle.RequestID{} },
 		})
 		r.cfg.Notices.Answered(notice.Answer{Endpoint: "e-n1", Notice: reported})
--- a/coordination/relay/poison_test.go
+++ b/coordination/relay/poison_test.go
@@ -38,6 +38,8 @@
 	return nil, errBroken
 }
 
+func (c *countingEndpoints) Unreached(string) []string { return nil }
+
 func (c *countingEndpoints) Free(context.Context, Endpoint, string) error { return nil }
 
 // recordingCaller is a caller that keeps the refusal it receives.
--- a/coordination/relay/record.go
+++ b/coordination/relay/record.go
@@ -28,6 +28,9 @@
 		"runs":           h.runs,
 		"ms":             h.relay.cfg.Now().Sub(h.request.Arrived).Milliseconds(),
 	}
+	if h.via != "" {
+		fields["via"] = h.via
+	}
 	h.addTable(fields)
 	if h.account != nil {
 		fields["account"] = h.account.Name
@@ -126,6 +129,9 @@
 		"alone":          h.selfPlaced,
 		"ms":             h.relay.cfg.Now().Sub(h.request.Arrived).Milliseconds(),
 	}
+	if res.unreached {
+		fields["others"], fields["known"] = res.others, res.known
+	}
 	if res.broke != adapter.BreakNone {
 		fields["broke"] = res.broke
 		fields["ran_ms"] = res.ran.Milliseconds()
--- a/coordination/relay/rehome_test.go
+++ b/coordination/relay/rehome_test.go
@@ -45,7 +45,7 @@
 // names the group of the request.
 func TestRehomeWhileTheGroupChanges(t *testing.T) {
 	homes := &movingHomes{}
-	r := New(Config{Homes: homes, Log: log.Discard(), NextID: func() lifecycle.RequestID { return lifecycle.RequestID{} }})
+	r := New(Config{Endpoints: &failingEndpoints{}, Homes: homes, Log: log.Discard(), NextID: func() lifecycle.RequestID { return lifecycle.RequestID{} }})
 	h := newHandler(r, Request{}, nil)
 	h.running = true
 	const rounds = 1000
--- a/coordination/relay/run.go
+++ b/coordination/relay/run.go
@@ -85,6 +85,8 @@
 	fallback *bufferedAnswer
 	// kept is a prefill result that an engine keeps for this request.
 	kept *keptResult
+	// via is the box through which the endpoint that answered last was reached; empty if directly.
+	via string
 	// sentAt is when the latest exchange began.
 	sentAt time.Time
 	// headSent reports whether the caller has received the header of the answer, and lastEvent
@@ -159,6 +161,10 @@
 	// unreached reports that no connection to the endpoint could be made, and answered that it
 	// answered with an error.
 	unreached, answered bool
+	// others is the number of other boxes that did not reach the endpoint either, and known reports
+	// that the endpoint was not tried because that was known.
+	others int
+	known  bool
 	// broke is how the exchange with the endpoint was interrupted, if it was, and ran the time
 	// from sending the request until then.
 	broke adapter.Break
@@ -303,10 +309,10 @@
 	h.steps, h.stepTime = 0, 0
 	res := h.execute(ctx, a, plan)
 	report.Finished = res.kind == delivered
-	if !isWithheld(res.reason) {
+	if !isWithheld(res.reason) && !res.known && res.broke != adapter.BreakPath {
 		report.Failed = res.endpoint
 	}
-	report.Unreachable = res.unreached
+	report.Unreachable, report.OthersUnreached = res.unreached, res.others
 	report.Answered = res.answered
 	report.Full = res.full
 	report.MayBeRunning = res.kind == failed && res.endpoint != ""
@@ -348,6 +354,7 @@
 		Avoid:    slices.Clone(h.avoid),
 	}
 	a.Avoid = append(a.Avoid, h.forbiddenEndpoints()...)
+	a.Avoid = append(a.Avoid, h.relay.cfg.Endpoints.Unreached(h.service.Name)...)
 	a.Patience = h.maxRetryAfter()
 	a.Late = h.late
 	a.RemainingPatience = h.callerPatience()
--- a/coordination/relay/spill_test.go
+++ b/coordination/relay/spill_test.go
@@ -42,7 +42,7 @@
 			regions[p.Zone] = p.Region
 		}
 	}
-	r := New(Config{Zone: zone, Regions: locality.New(regions), Homes: places, Directory: &staticDirectory{}, Log: log.Discard()})
+	r := New(Config{Endpoints: &failingEndpoints{}, Zone: zone, Regions: locality.New(regions), Homes: places, Directory: &staticDirectory{}, Log: log.Discard()})
 	return &handler{relay: r, service: table.Service{Name: "s"}, route: table.Route{Repeat: table.RepeatSafe, TargetMS: 300}}
 }
 
--- a/coordination/relay/types.go
+++ b/coordination/relay/types.go
@@ -87,6 +87,11 @@
 	LastEvent string
 	// Account is the client account of the request; empty if it has none.
 	Account string
+	// Repeatable reports whether the request may be sent to another endpoint after this call has
+	// been interrupted.
+	Repeatable bool
+	// DirectOnly keeps the call from going through another box.
+	DirectOnly bool
 	// Control marks a call that the box makes on its own behalf, without a caller's request or
 	// request ID.
 	Control bool
@@ -99,6 +104,8 @@
 	// Length is the length of the body in bytes; -1 if unknown.
 	Length int64
 	Body   io.ReadCloser
+	// Via is the box through which the endpoint was reached; empty if it was directly.
+	Via string
 	// Signed reports whether the answer has the header that marks it as written by the
 	// endpoint. Other answers may come from a proxy in between.
 	Signed bool
@@ -136,6 +143,8 @@
 type Endpoints interface {
 	// Send sends a request once and returns when the header of the answer has been received.
 	Send(ctx context.Context, call Call) (*Answer, error)
+	// Unreached returns the endpoints of a service that a call would not reach now.
+	Unreached(service string) []string
 	// Free releases a prefill result that an engine keeps.
 	Free(ctx context.Context, e Endpoint, handle string) error
 }
--- a/coordination/relay/where.go
+++ b/coordination/relay/where.go
@@ -80,10 +80,11 @@
 // left out.
 func (h *handler) placeWithoutHome() (plan lifecycle.Plan, withheld string) {
 	var eligible []string
+	unreached := h.relay.cfg.Endpoints.Unreached(h.service.Name)
 	for _, w := range h.relay.cfg.Directory.Directory().Statuses(h.service.Name) {
 		reason, ok := h.checkEligible(w)
 		switch {
-		case w.Stage == directory.StagePrefill, slices.Contains(h.avoid, w.ID):
+		case w.Stage == directory.StagePrefill, slices.Contains(h.avoid, w.ID), slices.Contains(unreached, w.ID):
 		case !ok && isWithheld(reason):
 			withheld = reason
 		case !ok:
--- a/coordination/relay/where_test.go
+++ b/coordination/relay/where_test.go
@@ -65,7 +65,7 @@
 		entries = append(entries, directory.Entry{ID: "e-" + zone, Service: "s", Zone: zone})
 	}
 	d := &staticDirectory{directory.Directory{}.WithList(time.Now(), 1, entries).WithDrained(time.Now(), zones)}
-	r := New(Config{Zone: "n1", Homes: p, Directory: d, Regions: twoRegions, Log: log.Discard(), NextID: func() lifecycle.RequestID { return lifecycle.RequestID{} }})
+	r := New(Config{Endpoints: &failingEndpoints{}, Zone: "n1", Homes: p, Directory: d, Regions: twoRegions, Log: log.Discard(), NextID: func() lifecycle.RequestID { return lifecycle.RequestID{} }})
 	r.SetTable(tableOf(1, route, holder))
 	h := newHandler(r, Request{Host: "h", Path: "/a/x", Credential: Credential{Valid: true, Key: account.Digest(keyDigest)}}, nil)
 	h.service = table.Service{Name: "s", Engine: &table.EngineLimits{}}
--- a/modules/metric/metric.go
+++ b/modules/metric/metric.go
@@ -55,6 +55,7 @@
 	perToken         metric.Float64Histogram
 	attempts         metric.Int64Counter
 	sends            metric.Int64Counter
+	connections      metric.Int64Counter
 	retriesDenied    metric.Int64Counter
 	brokenExchanges  metric.Int64Counter
 	endpointsEnded   metric.Int64Counter
@@ -130,6 +131,9 @@
 	if m.sends, err = meter.Int64Counter("runridge.sends", metric.WithUnit("{send}"), metric.WithDescription("Arrivals at endpoints of routed services, by purpose.")); err != nil {
 		return err
 	}
+	if m.connections, err = meter.Int64Counter("runridge.endpoint.connections", metric.WithUnit("{connection}"), metric.WithDescription("Connections to endpoints of routed services, by service and way: direct, peer, or none if no box reached the endpoint.")); err != nil {
+		return err
+	}
 	if m.retriesDenied, err = meter.Int64Counter("runridge.retries.denied", metric.WithUnit("{retry}"), metric.WithDescription("Retries that the budget did not allow.")); err != nil {
 		return err
 	}
@@ -180,6 +184,12 @@
 	m.retriesDenied.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service)))
 }
 
+// EndpointConnected counts a connection to an endpoint by the way on which it was made: direct, peer,
+// or none if the endpoint was not reached.
+func (m *Metrics) EndpointConnected(service, way string) {
+	m.connections.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service), attribute.String("way", way)))
+}
+
 // ExchangeBroken counts an exchange with an endpoint that was interrupted; how is the kind of
 // interruption.
 func (m *Metrics) ExchangeBroken(service, how string) {
--- a/protocol/boxwire/boxwire.go
+++ b/protocol/boxwire/boxwire.go
@@ -59,6 +59,9 @@
 	KindSuspects
 	KindSuspectsPull
 	KindLimits
+	KindTunnel
+	KindTunnelReply
+	KindTunnelData
 	// kindEnd is one above the last kind.
 	kindEnd
 )
@@ -248,6 +251,10 @@
 	KindSuspectsPull: func() Message { return &SuspectsPull{} },
 
 	KindLimits: func() Message { return &Limits{} },
+
+	KindTunnel:      func() Message { return &Tunnel{} },
+	KindTunnelReply: func() Message { return &TunnelReply{} },
+	KindTunnelData:  func() Message { return &TunnelData{} },
 }
 
 // Append appends the frame of a message to buf, encoded for a receiver of version v. It
--- a/protocol/boxwire/group.go
+++ b/protocol/boxwire/group.go
@@ -119,6 +119,8 @@
 	Running    bool
 	Full       bool
 	Answered   bool
+	// Others is the number of other boxes that did not reach the failed engine either.
+	Others int
 }
 
 // Withdraw cancels an ask.
@@ -322,6 +324,7 @@
 		Running:    r.MayBeRunning,
 		Full:       r.Full,
 		Answered:   r.Answered,
+		Others:     r.OthersUnreached,
 	}
 }
 
@@ -330,12 +333,15 @@
 	// An engine that is not in this box's table can't be ejected here, so its name is dropped.
 	failed, _ := n.Name(d.Failed)
 	return schedule.Report{
-		ID:           d.ID(o),
-		Finished:     d.Finished,
-		Failed:       failed,
-		Steps:        d.Steps,
-		StepTime:     time.Duration(d.StepTimeMS) * time.Millisecond,
-		Unreachable:  d.Unreached,
+		ID:          d.ID(o),
+		Finished:    d.Finished,
+		Failed:      failed,
+		Steps:       d.Steps,
+		StepTime:    time.Duration(d.StepTimeMS) * time.Millisecond,
+		Unreachable: d.Unreached,
+
+		OthersUnreached: d.Others,
+
 		MayBeRunning: d.Running,
 		Full:         d.Full,
 		Answered:     d.Answered,
--- a/protocol/boxwire/kinds.go
+++ b/protocol/boxwire/kinds.go
@@ -38,6 +38,10 @@
 	KindSuspectsPull: "suspects_pull",
 
 	KindLimits: "limits",
+
+	KindTunnel:      "tunnel",
+	KindTunnelReply: "tunnel_reply",
+	KindTunnelData:  "tunnel_data",
 }
 
 // String returns the name of the kind for logs and metrics.
--- a/protocol/boxwire/version.go
+++ b/protocol/boxwire/version.go
@@ -17,9 +17,11 @@
 	VersionLenient
 	// VersionLimits builds also read KindLimits, the limits that endpoints state.
 	VersionLimits
+	// VersionTunnels builds also read KindTunnel and connect other boxes to endpoints.
+	VersionTunnels
 
 	// VersionCurrent is the version of this build.
-	VersionCurrent = VersionLimits
+	VersionCurrent = VersionTunnels
 )
 
 // minVersions has the first version that reads a kind, where that is not VersionNone.
@@ -28,6 +30,9 @@
 	KindSuspects:     VersionLenient,
 	KindSuspectsPull: VersionLenient,
 	KindLimits:       VersionLimits,
+	KindTunnel:       VersionTunnels,
+	KindTunnelReply:  VersionTunnels,
+	KindTunnelData:   VersionTunnels,
 }
 
 // Reads reports whether builds of this version read messages of a kind.
--- a/protocol/boxwire/version_test.go
+++ b/protocol/boxwire/version_test.go
@@ -51,7 +51,9 @@
 	limits := []Limit{{Engine: 15, Named: true, PerSecond: 2.8, AgeMS: 40}, {Engine: 16}}
 	ask, grant, slot := *all["ask"].(*Ask), *all["grant"].(*Grant), *all["slot"].(*Slot)
 	ask.Limits, grant.Limits, slot.Limits, slot.Paced = limits, limits, limits, true
-	return map[string]Message{"hello": &hello, "member": &m, "update": update, "ask": &ask, "grant": &grant, "slot": &slot}
+	done := *all["done"].(*Done)
+	done.Others = 2
+	return map[string]Message{"hello": &hello, "member": &m, "update": update, "ask": &ask, "grant": &grant, "slot": &slot, "done": &done}
 }
 
 // readFrameFile reads a file of frames by message name.
--- /dev/null
+++ b/state/path/peer.go
@@ -0,0 +1,60 @@
+// Copyright 2026 The Runridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package path
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Peer is another box that may reach an endpoint.
+type Peer struct {
+	Name, Zone string
+	// Failed reports that it recently could not connect this box to an endpoint.
+	Failed bool
+}
+
+// Need is what a box needs a peer for: the endpoint with its zone, and the box's own name and zone.
+type Need struct {
+	Endpoint, Zone string
+	Box, BoxZone   string
+	// Via is the peer through which the endpoint was last reached; empty if none.
+	Via string
+}
+
+// MaxPeers is how many peers are asked to reach one endpoint.
+const MaxPeers = 6
+
+// Costs of a peer in the order; the lowest comes first.
+const (
+	crossZoneCost = 1
+	failedCost    = 2
+)
+
+// cost ranks a peer: the one that last reached the endpoint comes first, then those in the zone of
+// the box or of the endpoint, so that bytes cross zones at most once.
+func (n Need) cost(p Peer) int {
+	switch {
+	case p.Name == n.Via:
+		return -1
+	case p.Failed:
+		return failedCost
+	case p.Zone != n.Zone && p.Zone != n.BoxZone:
+		return crossZoneCost
+	default:
+		return 0
+	}
+}
+
+// Order returns the peers to ask, the best first, at most MaxPeers. Peers of the same rank come in
+// an order that differs by box and endpoint, so that the load spreads over them.
+func Order(n Need, peers []Peer) []Peer {
+	score := func(p Peer) uint64 { return xxhash.Sum64String(n.Box + "\x00" + n.Endpoint + "\x00" + p.Name) }
+	out := slices.SortedFunc(slices.Values(peers), func(a, b Peer) int {
+		return cmp.Or(cmp.Compare(n.cost(a), n.cost(b)), cmp.Compare(score(a), score(b)))
+	})
+	return out[:min(len(out), MaxPeers)]
+}
--- a/state/schedule/types.go
+++ b/state/schedule/types.go
@@ -294,8 +294,10 @@
 	MayBeRunning bool
 	// Full is true if the failed engine rejected the attempt for lack of capacity.
 	Full bool
-	// Unreachable is true if no connection to the failed engine could be made.
-	Unreachable bool
+	// Unreachable is true if no connection to the failed engine could be made, also through other
+	// boxes, and OthersUnreached how many of these did not reach it either.
+	Unreachable     bool
+	OthersUnreached int
 	// Answered is true if the failed engine answered with an error of its own.
 	Answered bool
 	// Steps is the number of gaps between tokens, and StepTime their sum.
--- a/tests/mutants/poison.go
+++ b/tests/mutants/poison.go
@@ -41,7 +41,7 @@
 	},
 	{
 		name: "poison_behind_forwarders", file: "transport/reach/reach.go", pkg: "./transport/reach", args: only("TestListens"),
-		old: "errors.Join(staysOpen(ctx, c), c.Close())", fault: "c.Close()",
+		old: "errors.Join(p.staysOpen(ctx, c), c.Close())", fault: "c.Close()",
 	},
 	{
 		name: "poison_by_planned_ends", file: "coordination/quarantine/quarantine.go", pkg: quarantineTests, args: only("TestWhatEndsAnEndpoint"),
--- a/tests/routed/unreached_test.go
+++ b/tests/routed/unreached_test.go
@@ -75,7 +75,7 @@
 	for c := range l.conns {
 		if l.only == "" || l.only == c.address {
 			c.reset = true
-			_ = c.Conn.Close()
+			_ = c.Close()
 		}
 	}
 }
@@ -153,8 +153,8 @@
 		s.start(fmt.Sprintf("box-%d", i+1))
 	}
 	for _, b := range s.boxes {
-		s.eventually("the box is ready and knows the endpoints", func() bool {
-			return b.Ready() && len(b.Directory().Statuses(plainService)) == len(plainEndpoints()) &&
+		s.eventually("the box is ready and knows the endpoints and the other boxes", func() bool {
+			return b.Ready() && b.LiveBoxes() == len(s.boxes) && len(b.Directory().Statuses(plainService)) == len(plainEndpoints()) &&
 				len(b.Directory().Statuses(modelService)) == len(modelEndpoints())
 		})
 	}
--- a/transport/boxnet/boxnet.go
+++ b/transport/boxnet/boxnet.go
@@ -41,7 +41,9 @@
 	// DistanceTo, if set, returns the distance of another box, for the counts of sent
 	// messages. It must not block.
 	DistanceTo func(box string) locality.Distance
-	Log        log.Logger
+	// Endpoints connects other boxes to endpoints; nil means that this box doesn't.
+	Endpoints Endpoints
+	Log       log.Logger
 }
 
 const (
@@ -79,6 +81,10 @@
 	flows    flows
 	versions peerVersions
 	unknown  unknownCounts
+	// tunnels counts the tunnels kept for other boxes; tunnelsClosed is true once the box opens no
+	// more.
+	tunnels       atomic.Int64
+	tunnelsClosed atomic.Bool
 }
 
 // link is the outgoing connection to a box and its send queue. It exists while it is in use.
@@ -327,6 +333,12 @@
 			return
 		}
 		lastReceived = time.Now()
+		if t, ok := m.(*boxwire.Tunnel); ok {
+			// The end of a tunnel says nothing about the peer's process.
+			from = ""
+			n.serveTunnel(c, r, t)
+			return
+		}
 		if u, ok := m.(*boxwire.Unknown); ok {
 			n.skipUnknown(sender, u)
 			continue
--- a/transport/reach/reach.go
+++ b/transport/reach/reach.go
@@ -5,6 +5,7 @@
 package reach
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -25,6 +26,9 @@
 type Prober struct {
 	// Dial opens connections; nil means over TCP.
 	Dial Dial
+	// Open is how long a connection has to stay open to show that the endpoint listens; 0 means
+	// the default.
+	Open time.Duration
 }
 
 // Listens connects to an address once, sends nothing and checks whether the connection stays open.
@@ -35,7 +39,7 @@
 	if err != nil {
 		return err
 	}
-	return errors.Join(staysOpen(ctx, c), c.Close())
+	return errors.Join(p.staysOpen(ctx, c), c.Close())
 }
 
 func (p Prober) dial(ctx context.Context, address string) (net.Conn, error) {
@@ -46,11 +50,11 @@
 	return dialer.DialContext(ctx, "tcp", address)
 }
 
-// staysOpen returns an error if a connection ends within openTime. Without this check a forwarder
+// staysOpen returns an error if a connection ends within Open. Without this check a forwarder
 // hides that the endpoint behind it has ended: in TestPoisonBehindForwarders 12 attempts of one
 // request ended 12 endpoints, and none was detected.
-func staysOpen(ctx context.Context, c net.Conn) error {
-	until := time.Now().Add(openTime)
+func (p Prober) staysOpen(ctx context.Context, c net.Conn) error {
+	until := time.Now().Add(cmp.Or(p.Open, openTime))
 	if deadline, ok := ctx.Deadline(); ok && deadline.Before(until) {
 		until = deadline
 	}
--- a/transport/upstream/conn.go
+++ b/transport/upstream/conn.go
@@ -10,6 +10,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -31,10 +32,37 @@
 	idleSince time.Time
 	// reused is true if the connection has served a request before.
 	reused bool
+	// via is the box through which the connection goes; empty if it is direct.
+	via string
+	// pool is the pool of a direct connection; heardAt is when the endpoint last sent anything over
+	// this connection, in nanoseconds since 1970.
+	pool    *pool
+	heardAt atomic.Int64
 }
 
-func newConn(c *Client, key poolKey, raw net.Conn) *conn {
-	return &conn{client: c, key: key, raw: raw, reader: bufio.NewReaderSize(raw, readBuffer), idleFor: shortIdle}
+func newConn(c *Client, key poolKey, raw net.Conn, via string) *conn {
+	k := &conn{client: c, key: key, raw: raw, idleFor: shortIdle, via: via}
+	if via == "" {
+		c.mutex.Lock()
+		k.pool = c.pools[key]
+		c.mutex.Unlock()
+	}
+	k.reader = bufio.NewReaderSize(heardReader{k}, readBuffer)
+	return k
+}
+
+// heardReader reads from a connection and notes when the endpoint sent something.
+type heardReader struct{ k *conn }
+
+// Read reads from the connection.
+func (r heardReader) Read(p []byte) (int, error) {
+	n, err := r.k.raw.Read(p)
+	if n > 0 && r.k.pool != nil {
+		now := time.Now().UnixNano()
+		r.k.heardAt.Store(now)
+		r.k.pool.heardAt.Store(now)
+	}
+	return n, err
 }
 
 // retire closes the connection and removes it from its pool's count.
--- a/transport/upstream/exchange.go
+++ b/transport/upstream/exchange.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"runridge.example/runridge/coordination/adapter"
@@ -41,19 +42,26 @@
 	writeErr error
 	// sent is how many bytes of the request were written.
 	sent int
+	ctx  context.Context
 	// stop keeps the end of the context from closing the connection. It returns false if
 	// the context has ended already.
 	stop func() bool
 	// begun is when the exchange started, before its first byte was written.
 	begun time.Time
+	// silence checks the path while the endpoint sends nothing; nil if the connection goes through
+	// another box. pathLost is true once the path was found lost.
+	silence  *time.Timer
+	pathLost atomic.Bool
 	// stray is true if an answer to another request arrived first.
 	stray bool
 }
 
 // run writes the request and returns its answer as soon as the head has arrived.
 func (x *exchange) run(ctx context.Context) (*relay.Answer, error) {
+	x.ctx = ctx
 	x.stop = context.AfterFunc(ctx, x.conn.retire)
 	x.begun = time.Now()
+	x.watchSilence()
 	head := x.request()
 	x.written = make(chan struct{})
 	if len(x.call.Body) >= longBody {
@@ -91,6 +99,8 @@
 // written, otherwise as adapter.ErrMayHaveRun.
 func (x *exchange) fail(ctx context.Context, err error) error {
 	x.stop()
+	x.endWatch()
+	err = x.explain(ctx, err)
 	if x.conn.reused && time.Since(x.begun) < x.client.roundTrip(x.conn.key) {
 		// The failure arrived sooner than a round trip takes, so the endpoint had ended
 		// the connection before the request reached it. Without the mark, a failure of
@@ -197,6 +207,7 @@
 	a := &relay.Answer{
 		Status:       resp.StatusCode,
 		Length:       resp.ContentLength,
+		Via:          x.conn.via,
 		Signed:       resp.Header.Get(x.names.Signature) != "",
 		NotRun:       resp.Header.Get(x.names.NotRun) != "" || resp.StatusCode == http.StatusMisdirectedRequest,
 		AddressTaken: resp.StatusCode == http.StatusMisdirectedRequest,
@@ -256,10 +267,11 @@
 		return n, nil
 	}
 	b.ended = true
+	b.x.endWatch()
 	if !errors.Is(err, io.EOF) {
 		b.x.stop()
 		b.x.conn.retire()
-		return n, err
+		return n, b.x.explain(b.x.ctx, err)
 	}
 	b.finish()
 	return n, io.EOF
@@ -281,7 +293,7 @@
 		<-x.written
 		return
 	}
-	if !b.reusable || x.writeErr != nil || x.conn.reader.Buffered() > 0 {
+	if !b.reusable || x.conn.via != "" || x.writeErr != nil || x.conn.reader.Buffered() > 0 {
 		x.conn.retire()
 		return
 	}
@@ -296,6 +308,7 @@
 	}
 	b.ended = true
 	b.x.stop()
+	b.x.endWatch()
 	b.x.conn.retire()
 	return nil
 }
--- a/transport/upstream/fuzz_test.go
+++ b/transport/upstream/fuzz_test.go
@@ -85,7 +85,7 @@
 		client := New(Config{Names: relayapi.Default()})
 		key := poolKey{address: "a", id: "e"}
 		client.pools[key] = &pool{open: 1}
-		k := newConn(client, key, &scriptedConn{rest: bytes.NewReader(data), closes: closes})
+		k := newConn(client, key, &scriptedConn{rest: bytes.NewReader(data), closes: closes}, "")
 		x := &exchange{client: client, conn: k, call: relay.Call{Method: http.MethodPost, Target: "/", RequestID: id}, names: client.cfg.Names}
 		a, err := x.run(context.Background())
 		if err != nil {
--- a/transport/upstream/orders.go
+++ b/transport/upstream/orders.go
@@ -77,5 +77,7 @@
 		Header:   header,
 		Body:     body,
 		Control:  true,
+		// Engines tell the holders of orders apart by the box that an order comes from.
+		DirectOnly: true,
 	})
 }
--- /dev/null
+++ b/transport/upstream/path.go
@@ -0,0 +1,550 @@
+// Copyright 2026 The Runridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package upstream
+
+import (
+	"context"
+	"errors"
+	"net"
+	"syscall"
+	"time"
+
+	"runridge.example/runridge/coordination/adapter"
+	"runridge.example/runridge/coordination/relay"
+	"runridge.example/runridge/modules/log"
+	"runridge.example/runridge/state/path"
+	"runridge.example/runridge/transport/boxnet"
+	"runridge.example/runridge/transport/reach"
+)
+
+// Peers connects this box to endpoints through other boxes. Errors are those of
+// boxnet.Net.OpenTunnel.
+type Peers interface {
+	// Candidates returns the other boxes that may be asked.
+	Candidates() []path.Peer
+	OpenTunnel(ctx context.Context, box, id string) (net.Conn, error)
+	ProbeThrough(ctx context.Context, box, id string) error
+}
+
+// Metrics records how endpoints are reached.
+type Metrics interface {
+	// EndpointConnected counts a connection to an endpoint, by the way on which it was made:
+	// direct, peer, or none if it failed.
+	EndpointConnected(service, way string)
+}
+
+// Ways of connections to endpoints, for metrics.
+const (
+	wayDirect = "direct"
+	wayPeer   = "peer"
+	wayNone   = "none"
+)
+
+const (
+	// directHeadStart is how long a direct path may take before a peer is asked as well, and
+	// peerHeadStart the same for a peer before the next one.
+	directHeadStart = 150 * time.Millisecond
+	peerHeadStart   = 80 * time.Millisecond
+	// failedPeerTime is how long a peer that could not connect this box is asked after the others.
+	failedPeerTime = time.Second
+	// silentAfter is after how long without a byte from an endpoint the path to it is checked.
+	silentAfter = 400 * time.Millisecond
+	// checkInterval is the shortest time between two checks of one path. checkTimeout bounds the
+	// check of the direct path, and checkOpen is how long its connection has to stay open.
+	checkInterval = 500 * time.Millisecond
+	checkTimeout  = 300 * time.Millisecond
+	checkOpen     = 50 * time.Millisecond
+	// peersTimeout bounds the question to peers that follows a failed check.
+	peersTimeout = time.Second
+	// checkPeers is how many peers are asked whether they reach an endpoint, and maxChecks how many
+	// other paths are checked once one is found lost.
+	checkPeers = 3
+	maxChecks  = 32
+	// maxPaths is how many paths are kept before stale ones are forgotten.
+	maxPaths = 512
+)
+
+// pathRecord is what the client knows of the paths to one endpoint.
+type pathRecord struct {
+	endpoint  relay.Endpoint
+	state     path.State
+	checking  bool
+	checkedAt time.Time
+}
+
+// pathOf returns the record of an endpoint, a new one if there is none. The mutex is held.
+func (c *Client) pathOf(key poolKey, e relay.Endpoint) *pathRecord {
+	p := c.paths[key]
+	if p == nil {
+		if len(c.paths) >= maxPaths {
+			c.forgetStalePaths()
+		}
+		p = &pathRecord{endpoint: e}
+		c.paths[key] = p
+	}
+	return p
+}
+
+// forgetPath forgets a path that works and is no longer in use. The mutex is held.
+func (c *Client) forgetPath(key poolKey) {
+	if p := c.paths[key]; p != nil && p.state.Direct() && !p.checking {
+		delete(c.paths, key)
+	}
+}
+
+// forgetStalePaths forgets the paths that have not been used for long. The mutex is held.
+func (c *Client) forgetStalePaths() {
+	now := time.Now()
+	for key, p := range c.paths {
+		if c.pools[key] == nil && !p.checking && p.state.Stale(now) {
+			delete(c.paths, key)
+		}
+	}
+}
+
+// Unreached returns the endpoints of a service that neither this box nor the others that it asked
+// reached a moment ago.
+func (c *Client) Unreached(service string) []string {
+	now := time.Now()
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	var out []string
+	for key, p := range c.paths {
+		if p.endpoint.Service == service && p.state.Unreached(now) {
+			out = append(out, key.id)
+		}
+	}
+	return out
+}
+
+// PathCounts returns the number of endpoints that this box reaches only through others, and of
+// those that nobody reached a moment ago.
+func (c *Client) PathCounts() (throughPeers, unreached int) {
+	now := time.Now()
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for _, p := range c.paths {
+		switch {
+		case p.state.Unreached(now):
+			unreached++
+		case p.state.Via() != "":
+			throughPeers++
+		}
+	}
+	return throughPeers, unreached
+}
+
+// candidates returns the peers to ask for an endpoint, the best first.
+func (c *Client) candidates(e relay.Endpoint, via string) []path.Peer {
+	if c.cfg.Peers == nil {
+		return nil
+	}
+	peers := c.cfg.Peers.Candidates()
+	now := time.Now()
+	c.mutex.Lock()
+	for i := range peers {
+		peers[i].Failed = now.Before(c.failedPeers[peers[i].Name])
+	}
+	c.mutex.Unlock()
+	need := path.Need{Endpoint: e.ID, Box: c.cfg.Box, BoxZone: c.cfg.Zone, Via: via}
+	if c.cfg.ZoneOf != nil {
+		need.Zone = c.cfg.ZoneOf(e.ID)
+	}
+	return path.Order(need, peers)
+}
+
+// try is one way to connect to an endpoint; via is empty for the direct path.
+type try struct {
+	via string
+	// headStart is how long the try may take before the next one begins.
+	headStart time.Duration
+	open      func(ctx context.Context) (net.Conn, error)
+}
+
+// tried is the result of a try.
+type tried struct {
+	index int
+	conn  net.Conn
+	err   error
+}
+
+// race makes the tries in turn until one succeeds: each begins when the one before it has failed or
+// has used up its head start. It returns the index of the successful one, -1 if there is none, and
+// the errors of those that failed; a try that is still open then has none.
+func race(ctx context.Context, tries []try) (winner int, raw net.Conn, errs []error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	errs = make([]error, len(tries))
+	results := make(chan tried, len(tries))
+	started, ended := 0, 0
+	defer func() {
+		go closeLosers(results, started-ended)
+	}()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	begin := func() {
+		if started == len(tries) {
+			return
+		}
+		i := started
+		started++
+		timer.Reset(tries[i].headStart)
+		go func() {
+			conn, err := tries[i].open(ctx)
+			results <- tried{index: i, conn: conn, err: err}
+		}()
+	}
+	for ended < len(tries) {
+		select {
+		case <-timer.C:
+			begin()
+		case r := <-results:
+			ended++
+			if r.err == nil {
+				return r.index, r.conn, errs
+			}
+			errs[r.index] = r.err
+			begin()
+		case <-ctx.Done():
+			return -1, nil, errs
+		}
+	}
+	return -1, nil, errs
+}
+
+// closeLosers closes the connections of tries that end after the race.
+func closeLosers(results <-chan tried, open int) {
+	for range open {
+		if r := <-results; r.conn != nil {
+			_ = r.conn.Close()
+		}
+	}
+}
+
+// tries returns the ways to connect to an endpoint: directly first while that works, otherwise
+// through peers first.
+func (c *Client) tries(s path.State, e relay.Endpoint) []try {
+	direct := try{headStart: directHeadStart, open: func(ctx context.Context) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+		defer cancel()
+		return c.cfg.Dial(ctx, e.Address)
+	}}
+	var out []try
+	if s.Direct() {
+		out = append(out, direct)
+	}
+	for _, p := range c.candidates(e, s.Via()) {
+		out = append(out, try{via: p.Name, headStart: peerHeadStart, open: func(ctx context.Context) (net.Conn, error) {
+			return c.cfg.Peers.OpenTunnel(ctx, p.Name, e.ID)
+		}})
+	}
+	if !s.Direct() {
+		out = append(out, direct)
+	}
+	return out
+}
+
+// connect opens a connection to an endpoint, directly or through another box, whose name it returns.
+// The error of a connection that could not be made is an adapter.UnreachedError.
+func (c *Client) connect(ctx context.Context, key poolKey, e relay.Endpoint) (raw net.Conn, via string, err error) {
+	c.mutex.Lock()
+	s := c.pathOf(key, e).state
+	c.mutex.Unlock()
+	if s.Unreached(time.Now()) {
+		return nil, "", &adapter.UnreachedError{Known: true}
+	}
+	if s.ProbeDue(time.Now()) {
+		c.checkPath(key, e)
+	}
+	bounded, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	tries := c.tries(s, e)
+	winner, raw, errs := race(bounded, tries)
+	if winner < 0 && ctx.Err() != nil {
+		return nil, "", ctx.Err()
+	}
+	c.notePeers(tries, errs)
+	switch {
+	case winner < 0:
+		unreached := unreachedError(tries, errs)
+		c.noteUnreached(key, e, unreached)
+		return nil, "", unreached
+	case tries[winner].via == "":
+		c.noteReached(key)
+		c.countWay(e.Service, wayDirect)
+	default:
+		via = tries[winner].via
+		if s.Direct() {
+			c.noteLost(key, e, via, errs[0])
+		} else {
+			c.noteVia(key, via)
+		}
+		c.countWay(e.Service, wayPeer)
+	}
+	return raw, via, nil
+}
+
+// unreachedError returns the error of a race without a winner.
+func unreachedError(tries []try, errs []error) *adapter.UnreachedError {
+	out := &adapter.UnreachedError{}
+	for i, err := range errs {
+		switch {
+		case tries[i].via == "":
+			out.Err = err
+		case errors.Is(err, boxnet.ErrTunnelUnreached):
+			out.Others++
+		}
+	}
+	if out.Err == nil {
+		out.Err = context.DeadlineExceeded
+	}
+	return out
+}
+
+// notePeers records which peers could not connect this box.
+func (c *Client) notePeers(tries []try, errs []error) {
+	until := time.Now().Add(failedPeerTime)
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for i, err := range errs {
+		if err != nil && tries[i].via != "" {
+			c.failedPeers[tries[i].via] = until
+		}
+	}
+}
+
+func (c *Client) countWay(service, way string) {
+	if c.cfg.Metrics != nil {
+		c.cfg.Metrics.EndpointConnected(service, way)
+	}
+}
+
+// noteReached records that the direct path to an endpoint works.
+func (c *Client) noteReached(key poolKey) {
+	c.mutex.Lock()
+	p := c.paths[key]
+	if p == nil {
+		c.mutex.Unlock()
+		return
+	}
+	was, lostFor := p.state, p.state.LostFor(time.Now())
+	p.state = p.state.WithReached()
+	c.mutex.Unlock()
+	if !was.Direct() {
+		c.cfg.Log.WithFields(log.Fields{
+			log.FieldEngine: key.id, "service": p.endpoint.Service, "lost_ms": lostFor.Milliseconds(), "via": was.Via(),
+		}).Info("endpoint_path_regained")
+	}
+}
+
+// noteVia records that another box reached an endpoint.
+func (c *Client) noteVia(key poolKey, via string) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if p := c.paths[key]; p != nil {
+		p.state = p.state.WithVia(via)
+	}
+}
+
+// noteLost records that the direct path to an endpoint failed while another box reached it. Then the
+// paths to other endpoints may be lost as well.
+func (c *Client) noteLost(key poolKey, e relay.Endpoint, via string, cause error) {
+	c.mutex.Lock()
+	p := c.pathOf(key, e)
+	was := p.state
+	p.state = p.state.WithLost(time.Now()).WithVia(via)
+	c.mutex.Unlock()
+	if !was.Direct() && was.Via() != "" {
+		return
+	}
+	c.cfg.Log.WithFields(log.Fields{
+		log.FieldEngine: e.ID, "service": e.Service, "via": via, "found": string(foundOf(cause)),
+	}).Info("endpoint_path_lost")
+	c.checkOthers(key)
+}
+
+// foundOf returns how a failed try of the direct path ended; one that was given up got no answer.
+func foundOf(cause error) adapter.Break {
+	if cause == nil || errors.Is(cause, context.Canceled) {
+		return adapter.BreakSilent
+	}
+	return adapter.BreakOf(cause)
+}
+
+// noteUnreached records that neither this box nor those that it asked reached an endpoint.
+func (c *Client) noteUnreached(key poolKey, e relay.Endpoint, err *adapter.UnreachedError) {
+	now := time.Now()
+	c.mutex.Lock()
+	p := c.pathOf(key, e)
+	was := p.state
+	p.state = p.state.WithLost(now)
+	if err.Others > 0 {
+		p.state = p.state.WithUnreached(now)
+	}
+	c.mutex.Unlock()
+	c.countWay(e.Service, wayNone)
+	if was.Direct() || was.Via() != "" {
+		c.cfg.Log.WithFields(log.Fields{
+			log.FieldEngine: e.ID, "service": e.Service, "others": err.Others, "found": string(foundOf(err.Err)),
+		}).Info("endpoint_unreached")
+	}
+}
+
+// checkPath checks in the background whether this box reaches an endpoint directly and, if not,
+// whether others do.
+func (c *Client) checkPath(key poolKey, e relay.Endpoint) {
+	if c.cfg.Peers == nil {
+		return
+	}
+	now := time.Now()
+	c.mutex.Lock()
+	p := c.pathOf(key, e)
+	if p.checking || now.Sub(p.checkedAt) < checkInterval {
+		c.mutex.Unlock()
+		return
+	}
+	p.checking, p.checkedAt = true, now
+	p.state = p.state.WithTry(now)
+	c.mutex.Unlock()
+	go func() {
+		c.check(key, e)
+		c.mutex.Lock()
+		defer c.mutex.Unlock()
+		p.checking = false
+	}()
+}
+
+// check is the body of checkPath.
+func (c *Client) check(key poolKey, e relay.Endpoint) {
+	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
+	defer cancel()
+	failed := reach.Prober{Dial: c.cfg.Dial, Open: checkOpen}.Listens(ctx, e.Address)
+	if failed == nil {
+		c.noteReached(key)
+		return
+	}
+	via, reached := c.reachedThrough(e)
+	if !reached {
+		return
+	}
+	c.noteLost(key, e, via, failed)
+	if found := foundOf(failed); found == adapter.BreakSilent {
+		c.dropSilent(key)
+	}
+}
+
+// reachedThrough asks peers whether they reach an endpoint, and returns one that does.
+func (c *Client) reachedThrough(e relay.Endpoint) (via string, reached bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), peersTimeout)
+	defer cancel()
+	tries := c.probes(e)
+	winner, _, errs := race(ctx, tries)
+	c.notePeers(tries, errs)
+	if winner < 0 {
+		return "", false
+	}
+	return tries[winner].via, true
+}
+
+// probes returns the questions to peers whether they reach an endpoint.
+func (c *Client) probes(e relay.Endpoint) []try {
+	var out []try
+	candidates := c.candidates(e, "")
+	for _, p := range candidates[:min(len(candidates), checkPeers)] {
+		out = append(out, try{via: p.Name, headStart: peerHeadStart, open: func(ctx context.Context) (net.Conn, error) {
+			return nil, c.cfg.Peers.ProbeThrough(ctx, p.Name, e.ID)
+		}})
+	}
+	return out
+}
+
+// checkOthers checks the paths to the other endpoints in use from which nothing came of late.
+func (c *Client) checkOthers(except poolKey) {
+	var due []poolKey
+	var endpoints []relay.Endpoint
+	now := time.Now()
+	c.mutex.Lock()
+	for key, p := range c.pools {
+		known := c.paths[key]
+		if key == except || known == nil || !known.state.Direct() || now.Sub(p.heard()) < silentAfter || len(due) == maxChecks {
+			continue
+		}
+		due, endpoints = append(due, key), append(endpoints, known.endpoint)
+	}
+	c.mutex.Unlock()
+	for i, key := range due {
+		c.checkPath(key, endpoints[i])
+	}
+}
+
+// dropSilent closes the direct connections to an endpoint over which nothing comes any more: idle
+// ones, and those of requests that may be repeated.
+func (c *Client) dropSilent(key poolKey) {
+	now := time.Now()
+	c.mutex.Lock()
+	p := c.pools[key]
+	if p == nil {
+		c.mutex.Unlock()
+		return
+	}
+	drop := p.idle
+	p.idle = nil
+	for x := range p.active {
+		if x.call.Repeatable && now.Sub(x.heard()) >= silentAfter {
+			x.pathLost.Store(true)
+			drop = append(drop, x.conn)
+		}
+	}
+	c.mutex.Unlock()
+	for _, k := range drop {
+		k.retire()
+	}
+}
+
+// Connect opens a connection to an endpoint for another box, without the help of others.
+func (c *Client) Connect(ctx context.Context, e relay.Endpoint) (net.Conn, error) {
+	key := poolKey{address: e.Address, id: e.ID}
+	now := time.Now()
+	c.mutex.Lock()
+	p := c.pathOf(key, e)
+	s := p.state
+	due := s.Direct() || s.ProbeDue(now)
+	p.state = s.WithTry(now)
+	c.mutex.Unlock()
+	if !due {
+		return nil, boxnet.ErrTunnelUnreached
+	}
+	raw, err := c.cfg.Dial(ctx, e.Address)
+	if err != nil {
+		c.mutex.Lock()
+		defer c.mutex.Unlock()
+		p.state = p.state.WithLost(now)
+		return nil, err
+	}
+	c.noteReached(key)
+	return raw, nil
+}
+
+// ListensConfirmed checks whether an endpoint listens, like reach.Prober. If its address refuses
+// this box, peers are asked: their answer counts if they reach it or cannot tell.
+func (c *Client) ListensConfirmed(ctx context.Context, e relay.Endpoint) error {
+	err := reach.Prober{Dial: c.cfg.Dial}.Listens(ctx, e.Address)
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		return err
+	}
+	tries := c.probes(e)
+	if len(tries) == 0 {
+		return err
+	}
+	winner, _, errs := race(ctx, tries)
+	if winner >= 0 {
+		return nil
+	}
+	for _, other := range errs {
+		if errors.Is(other, syscall.ECONNREFUSED) {
+			return err
+		}
+	}
+	return context.DeadlineExceeded
+}
--- a/transport/upstream/upstream.go
+++ b/transport/upstream/upstream.go
@@ -14,11 +14,13 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"runridge.example/runridge/coordination/adapter"
 	"runridge.example/runridge/coordination/notice"
 	"runridge.example/runridge/coordination/relay"
+	"runridge.example/runridge/modules/log"
 	"runridge.example/runridge/modules/socket"
 	"runridge.example/runridge/protocol/relayapi"
 	"runridge.example/runridge/transport/reach"
@@ -48,6 +50,16 @@
 	Notices *notice.Keeper
 	// Dial opens a connection to the address of an endpoint; nil means over TCP.
 	Dial reach.Dial
+	// Box and Zone are this box's name and availability zone, and ZoneOf returns the zone of an
+	// endpoint, empty if unknown; nil means that none is known.
+	Box, Zone string
+	ZoneOf    func(id string) string
+	// Peers connects to endpoints that this box does not reach; nil means that nobody does.
+	Peers Peers
+	// Metrics may be nil.
+	Metrics Metrics
+	// Log may be nil.
+	Log log.Logger
 }
 
 // Client sends requests to endpoints.
@@ -57,6 +69,9 @@
 	pools map[poolKey]*pool
 	// opened counts the connections opened, including failed dials.
 	opened uint64
+	paths  map[poolKey]*pathRecord
+	// failedPeers has until when each peer that could not connect this box is asked last.
+	failedPeers map[string]time.Time
 }
 
 // poolKey identifies one incarnation of an endpoint; another endpoint may later use its address.
@@ -71,10 +86,20 @@
 	// roundTrip is the shortest time that dialing took, as an estimate of a round trip; 0
 	// is unknown.
 	roundTrip time.Duration
+	// active are the exchanges over direct connections, and heardAt is when the endpoint last sent
+	// anything over one, in nanoseconds since 1970.
+	active  map[*exchange]struct{}
+	heardAt atomic.Int64
 }
 
+// heard returns when the endpoint last sent anything over a direct connection.
+func (p *pool) heard() time.Time { return time.Unix(0, p.heardAt.Load()) }
+
 // New returns a client for cfg.
 func New(cfg Config) *Client {
+	if cfg.Log == nil {
+		cfg.Log = log.Discard()
+	}
 	if cfg.Dial == nil {
 		timeouts := socket.Timeouts{Dial: dialTimeout, Unacknowledged: ackTimeout, KeepAlive: probeInterval, Probes: probes}
 		dialer := timeouts.Dialer()
@@ -82,7 +107,9 @@
 			return dialer.DialContext(ctx, "tcp", address)
 		}
 	}
-	return &Client{cfg: cfg, pools: make(map[poolKey]*pool)}
+	return &Client{
+		cfg: cfg, pools: make(map[poolKey]*pool), paths: make(map[poolKey]*pathRecord), failedPeers: make(map[string]time.Time),
+	}
 }
 
 // Opened returns the number of connections opened so far, including failed dials.
@@ -109,7 +136,7 @@
 // Send sends a request once and returns when the head of its answer has arrived. Errors are
 // adapter.ErrNotRun or adapter.ErrMayHaveRun.
 func (c *Client) Send(ctx context.Context, call relay.Call) (*relay.Answer, error) {
-	k, err := c.take(ctx, call.Endpoint)
+	k, err := c.take(ctx, call.Endpoint, call.DirectOnly)
 	if err != nil {
 		return nil, err
 	}
@@ -132,14 +159,18 @@
 // errShare is returned when the box uses its whole share of connections to an endpoint.
 var errShare = errors.New("all connections to the endpoint are in use")
 
-// take returns a clean idle connection, or a new one if there is none.
-func (c *Client) take(ctx context.Context, e relay.Endpoint) (*conn, error) {
+// take returns a clean idle connection, or a new one if there is none. With directOnly that one isn't
+// made through another box.
+func (c *Client) take(ctx context.Context, e relay.Endpoint, directOnly bool) (*conn, error) {
 	key := poolKey{address: e.Address, id: e.ID}
 	for {
 		k, ok := c.pop(key, e.Service)
 		if k == nil && !ok {
 			return nil, adapter.ErrNotRun.Wrap(errShare, "endpoint %s", e.ID)
 		}
+		if k == nil && directOnly {
+			return c.dialDirect(ctx, key, e)
+		}
 		if k == nil {
 			return c.dial(ctx, key, e)
 		}
@@ -161,7 +192,7 @@
 	defer c.mutex.Unlock()
 	p := c.pools[key]
 	if p == nil {
-		p = &pool{}
+		p = &pool{active: make(map[*exchange]struct{})}
 		c.pools[key] = p
 	}
 	if n := len(p.idle); n > 0 {
@@ -180,13 +211,25 @@
 // dial opens the connection for which pop reserved capacity. Failures are adapter.ErrNotRun.
 func (c *Client) dial(ctx context.Context, key poolKey, e relay.Endpoint) (*conn, error) {
 	begin := time.Now()
+	raw, via, err := c.connect(ctx, key, e)
+	if err != nil {
+		c.closed(key)
+		return nil, adapter.ErrNotRun.Wrap(err, "endpoint %s", e.ID)
+	}
+	if via == "" {
+		c.recordRoundTrip(key, time.Since(begin))
+	}
+	return newConn(c, key, raw, via), nil
+}
+
+// dialDirect is dial without other boxes.
+func (c *Client) dialDirect(ctx context.Context, key poolKey, e relay.Endpoint) (*conn, error) {
 	raw, err := c.cfg.Dial(ctx, e.Address)
 	if err != nil {
 		c.closed(key)
 		return nil, adapter.ErrNotRun.Wrap(err, "endpoint %s", e.ID)
 	}
-	c.recordRoundTrip(key, time.Since(begin))
-	return newConn(c, key, raw), nil
+	return newConn(c, key, raw, ""), nil
 }
 
 // recordRoundTrip records how long dialing took, if it is the shortest so far.
@@ -226,6 +269,7 @@
 	p.open--
 	if p.open <= 0 && len(p.idle) == 0 {
 		delete(c.pools, key)
+		c.forgetPath(key)
 	}
 }
 
