An endpoint is not ejected for all by the lost requests of one box

Callers of boxes that reach everything were refused with target_cannot_be_met while one box had lost its links: one report of a failed connection ejected the endpoint for the whole group, and a few exchanges that broke off with the links did the same.

A lost request of a box that has lost every one since its last answer, while another box is answered, is put down to its path. A failed connection ejects at once only if other boxes did not reach the endpoint either, or nobody else has been answered there in the last second. Errors that the endpoint itself answers count as before.

--- a/state/health/observers.go
+++ b/state/health/observers.go
@@ -3,30 +3,72 @@
 
 package health
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
-// Observers records which boxes last had a request end well at one endpoint. It is an immutable
+const (
+	// otherAnsweredTime is how recently a request of another box must have ended well for a lost
+	// request to be put down to the path of its box.
+	otherAnsweredTime = time.Second
+	// maxLosing bounds the boxes whose latest request at an endpoint was lost.
+	maxLosing = 16
+)
+
+// Observers tells an endpoint that is down from one that some boxes don't reach. It is an immutable
 // value.
 type Observers struct {
-	// last is the latest such box, and before the latest one other than last.
+	// last is the latest box whose request ended well, and before the latest one other than last.
 	last, before observation
+	// losing are the boxes whose latest request was lost, oldest first.
+	losing []observation
 }
 
-// observation is a request of a box that ended well.
+// observation is what a box observed, and when.
 type observation struct {
 	box string
 	at  time.Time
 }
 
+func (o Observers) indexOfLosing(box string) int {
+	return slices.IndexFunc(o.losing, func(l observation) bool { return l.box == box })
+}
+
 // WithSuccess returns the observers after a request of a box ended well.
 func (o Observers) WithSuccess(now time.Time, box string) Observers {
 	if box != o.last.box {
 		o.before = o.last
 	}
 	o.last = observation{box: box, at: now}
+	if i := o.indexOfLosing(box); i >= 0 {
+		o.losing = slices.Delete(slices.Clone(o.losing), i, i+1)
+	}
 	return o
 }
 
+// WithLost returns the observers after a request of a box was lost: the endpoint was not reached, or
+// the exchange broke off. counts is false if that is put down to the path of the box: it has lost
+// every request of late while others were answered. A number of other boxes that did not reach the
+// endpoint either makes it count.
+func (o Observers) WithLost(now time.Time, box string, others int) (next Observers, counts bool) {
+	i := o.indexOfLosing(box)
+	if i < 0 {
+		losing := append(slices.Clone(o.losing), observation{box: box, at: now})
+		o.losing = losing[max(len(losing)-maxLosing, 0):]
+		return o, true
+	}
+	ago, _ := o.OtherAnswered(now, box)
+	pathLost := o.AnsweredElsewhere(now, box) && now.Add(-ago).After(o.losing[i].at)
+	return o, others > 0 || !pathLost
+}
+
+// AnsweredElsewhere reports whether a request of another box has recently ended well.
+func (o Observers) AnsweredElsewhere(now time.Time, box string) bool {
+	ago, answered := o.OtherAnswered(now, box)
+	return answered && ago < otherAnsweredTime
+}
+
 // OtherAnswered returns how long ago a request of a box other than the given one last ended well;
 // false if none did.
 func (o Observers) OtherAnswered(now time.Time, box string) (time.Duration, bool) {
--- a/state/schedule/learn.go
+++ b/state/schedule/learn.go
@@ -212,8 +212,14 @@
 			ejected++
 		}
 	}
+	if !r.Answered && !r.Full {
+		var counts bool
+		if e.observers, counts = e.observers.WithLost(now, box, r.OthersUnreached); !counts {
+			return
+		}
+	}
 	rules := g.cfg.Health
-	if r.Unreachable {
+	if r.Unreachable && (r.OthersUnreached > 0 || !e.observers.AnsweredElsewhere(now, box)) {
 		rules.Failures = 1
 	}
 	was := e.breaker.EjectedFor(now)
