An endpoint that refuses one box has not ended

Requests that broke off with the links of one box were suspected of having ended their endpoints: a refused probe of that box counted as the endpoint's end, and after three of them all boxes kept the same request from all endpoints (poison_changed blocked=1 at boxes that reach everything).

A refused probe is now confirmed: other boxes are asked, and only if one of them is refused too has the endpoint ended; if none can tell, the platform's list decides, as for one that does not answer.

--- /dev/null
+++ b/box/probe.go
@@ -0,0 +1,24 @@
+// Copyright 2026 The Runridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package box
+
+import (
+	"context"
+
+	"runridge.example/runridge/transport/reach"
+)
+
+// endpointProber probes endpoints that may have ended.
+type endpointProber struct{ b *Box }
+
+// Listens checks whether an endpoint listens. One of routed services that refuses this box is probed
+// by others too, because only this box may not reach it.
+func (p endpointProber) Listens(ctx context.Context, id, address string) error {
+	if p.b.routed != nil {
+		if e, err := tunnelEndpoints(p).find(id); err == nil && e.Address == address {
+			return p.b.routed.endpoints.ListensConfirmed(ctx, e)
+		}
+	}
+	return reach.Prober{Dial: p.b.options.DialEndpoint}.Listens(ctx, address)
+}
--- a/box/quarantine.go
+++ b/box/quarantine.go
@@ -10,14 +10,13 @@
 	"runridge.example/runridge/protocol/boxwire"
 	"runridge.example/runridge/state/directory"
 	"runridge.example/runridge/state/poison"
-	"runridge.example/runridge/transport/reach"
 )
 
 // newQuarantine creates the keeper that detects poison requests.
 func (b *Box) newQuarantine() *quarantine.Keeper {
 	return quarantine.New(quarantine.Config{
 		Self:          b.settings.Name,
-		Prober:        reach.Prober{Dial: b.options.DialEndpoint},
+		Prober:        endpointProber{b},
 		Find:          b.findEndpoint,
 		Peers:         b.others,
 		Ranked:        b.nearRanked,
--- a/coordination/quarantine/check.go
+++ b/coordination/quarantine/check.go
@@ -77,7 +77,7 @@
 	case lossUnrelated:
 		c = &check{status: l.status, since: l.at, state: stateProbing}
 		k.checks[start] = c
-		k.startProbe(ctx, start, l.status.Address)
+		k.startProbe(ctx, start, l.status)
 	}
 	switch {
 	case c.state == stateEnded:
@@ -118,7 +118,7 @@
 }
 
 // startProbe probes an endpoint in the background.
-func (k *Keeper) startProbe(ctx context.Context, start uint64, address string) {
+func (k *Keeper) startProbe(ctx context.Context, start uint64, s directory.Status) {
 	if len(k.checks) > maxProbes {
 		// Leave it to the platform's list.
 		k.checks[start].state = stateUnreached
@@ -127,7 +127,7 @@
 	go func() {
 		call, cancel := context.WithTimeout(ctx, probeTimeout)
 		defer cancel()
-		err := k.cfg.Prober.Listens(call, address)
+		err := k.cfg.Prober.Listens(call, s.ID, s.Address)
 		select {
 		case k.probed <- probeResult{start: start, err: err}:
 		case <-ctx.Done():
--- a/coordination/quarantine/quarantine.go
+++ b/coordination/quarantine/quarantine.go
@@ -29,9 +29,9 @@
 
 // Prober probes an endpoint.
 type Prober interface {
-	// Listens connects to an address and sends nothing. The error tells why connecting
-	// failed.
-	Listens(ctx context.Context, address string) error
+	// Listens connects to the address of an endpoint and sends nothing. The error tells why
+	// connecting failed.
+	Listens(ctx context.Context, id, address string) error
 }
 
 // Metrics counts ended endpoints and refused requests.
--- a/coordination/quarantine/quarantine_test.go
+++ b/coordination/quarantine/quarantine_test.go
@@ -85,7 +85,7 @@
 }
 
 // Listens returns the configured result of connecting to an address.
-func (f *fleet) Listens(ctx context.Context, address string) error {
+func (f *fleet) Listens(ctx context.Context, _, address string) error {
 	f.mutex.Lock()
 	f.probes++
 	err, known := f.answers[address]
--- /dev/null
+++ b/tests/mutants/path.go
@@ -0,0 +1,28 @@
+// Copyright 2026 The Runridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package main
+
+// pathMutants are faults by which a box that does not reach an endpoint fails its callers, or others'.
+var pathMutants = []mutant{
+	{
+		name: "no_way_through_others", file: "box/routed.go", pkg: "./tests/routed", args: only("TestBoxThatLostItsLinksToEndpointsFailsItsCallers"),
+		old: "		Peers:   tunnelPeers{b},\n", fault: "",
+	},
+	{
+		name: "tunnel_end_looks_complete", file: "transport/boxnet/tunnel.go", pkg: "./transport/boxnet", args: only("TestTunnelMakesCutAnswersLookComplete"),
+		old: "return 0, io.ErrUnexpectedEOF", fault: "return 0, io.EOF",
+	},
+	{
+		name: "lost_requests_of_one_box_count", file: "state/health/observers.go", pkg: "./state/health", args: only("TestLostRequestsOfOneBoxCountForAll"),
+		old: "return o, others > 0 || !pathLost", fault: "return o, others > 0 || !pathLost || true",
+	},
+	{
+		name: "one_box_ejects_for_all", file: "state/schedule/learn.go", pkg: "./state/schedule", args: only("TestEngineLostByOneBoxIsEjectedForAll"),
+		old: "if r.Unreachable && (r.OthersUnreached > 0 || !e.observers.AnsweredElsewhere(now, box)) {", fault: "if r.Unreachable {",
+	},
+	{
+		name: "refusal_of_one_box_is_an_end", file: "transport/upstream/path.go", pkg: "./tests/routed", args: only("TestEndpointThatRefusesOneBoxCountsAsEnded"),
+		old: "	if len(tries) == 0 {\n		return err\n", fault: "	if len(tries) >= 0 {\n		return err\n",
+	},
+}
