Soak: boxes that lose their links to all endpoints, compared with those that keep them

No kind of fault cut boxes from all endpoints while callers, the store and the other boxes reached them, and no promise compared boxes. New: one box, all of a zone, or all but one; links that hang, are reset, or refuse new connections; and two promises.

--- a/bench/soak/check/check.go
+++ b/bench/soak/check/check.go
@@ -39,6 +39,8 @@
 	Store bool
 	// TurnedAway holds the boxes that the store turns away while it serves others.
 	TurnedAway []string
+	// Unlinked holds the boxes that lose their links to all endpoints.
+	Unlinked []string
 	// Machine is true if the whole machine stalled, and with it every process.
 	Machine  bool
 	From, To time.Time
@@ -136,10 +138,10 @@
 const EffectTime = 2 * time.Second
 
 // faultOverlaps reports whether a fault, or its aftermath, affected a box or a place
-// between two times.
+// between two times. Boxes that lost their links to endpoints count if a place is given.
 func (v *verifier) faultOverlaps(box, place string, from, to time.Time) bool {
 	return slices.ContainsFunc(v.Faults, func(f Fault) bool {
-		affects := f.Machine || slices.Contains(f.Boxes, box) || (place != "" && f.Place == place)
+		affects := f.Machine || slices.Contains(f.Boxes, box) || (place != "" && (f.Place == place || slices.Contains(f.Unlinked, box)))
 		return affects && f.From.Before(to) && f.To.Add(EffectTime).After(from)
 	})
 }
--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -34,6 +34,8 @@
 		return r.faultLinks
 	case schedule.EndpointCut:
 		return r.cutEndpoint
+	case schedule.EndpointsLost:
+		return r.loseEndpoints
 	case schedule.TableChanged, schedule.TableGrown, schedule.KeyWithdrawn, schedule.QuotaChanged:
 		return r.changeTable
 	case schedule.ZoneDrained:
--- a/bench/soak/judge.go
+++ b/bench/soak/judge.go
@@ -44,7 +44,7 @@
 func (r *run) otherFaultOverlaps(index int, a check.Answer, place string) bool {
 	return slices.ContainsFunc(r.record.Faults, func(f check.Fault) bool {
 		same := f.Kind == r.record.Faults[index].Kind && f.From.Equal(r.record.Faults[index].From)
-		affects := f.Machine || f.Place == place || slices.Contains(f.Boxes, a.Box)
+		affects := f.Machine || f.Place == place || slices.Contains(f.Boxes, a.Box) || slices.Contains(f.Unlinked, a.Box)
 		return !same && affects && f.From.Before(a.Ended) && f.To.Add(check.EffectTime).After(a.Begun)
 	})
 }
@@ -101,7 +101,7 @@
 func (r *run) overlapsOtherFault(index int) bool {
 	f := r.record.Faults[index]
 	for i, o := range r.record.Faults {
-		affects := len(o.Boxes) > 0 || o.Place != "" || o.Store || len(o.TurnedAway) > 0 || o.Machine
+		affects := len(o.Boxes) > 0 || o.Place != "" || o.Store || len(o.TurnedAway) > 0 || len(o.Unlinked) > 0 || o.Machine
 		if i != index && affects && o.From.Before(f.To) && o.To.Add(check.EffectTime).After(f.From) {
 			return true
 		}
--- a/bench/soak/links.go
+++ b/bench/soak/links.go
@@ -76,6 +76,44 @@
 	sleepUntil(ctx, time.Now().Add(e.For))
 }
 
+// lostForms are the ways in which boxes lose their links to all endpoints: everything hangs,
+// everything is reset, or open connections live on while new ones are reset.
+var lostForms = []proxy.Fault{{CutForth: true, CutBack: true}, {Reset: true, Refuse: true}, {Refuse: true}}
+
+// lostScopes is the number of ways in which the boxes that lose their links are chosen.
+const lostScopes = 4
+
+// losingBoxes returns the boxes that lose their links to endpoints in an event: the event's box, all
+// of its zone, or all but that box.
+func (r *run) losingBoxes(e schedule.Event) []string {
+	var out []string
+	for i, b := range r.boxes {
+		loses := i == e.Box
+		switch e.Draw % lostScopes {
+		case 0:
+			loses = b.zone == r.boxes[e.Box].zone
+		case 1:
+			loses = i != e.Box
+		}
+		if loses {
+			out = append(out, b.name)
+		}
+	}
+	return out
+}
+
+// loseEndpoints cuts boxes from all endpoints while the event lasts.
+func (r *run) loseEndpoints(ctx context.Context, e schedule.Event) {
+	boxes := r.losingBoxes(e)
+	defer r.recordFault(check.Fault{Kind: string(e.Kind), Unlinked: boxes})()
+	fault := lostForms[e.Draw/lostScopes%uint64(len(lostForms))]
+	for _, name := range boxes {
+		s := toEndpoints(name, fault)
+		defer r.net.Apply(s.match, s.fault)()
+	}
+	sleepUntil(ctx, time.Now().Add(e.For))
+}
+
 // cutEndpoint cuts the links to an endpoint in one direction or both.
 func (r *run) cutEndpoint(ctx context.Context, e schedule.Event) {
 	p := r.places[e.Place]
--- a/bench/soak/schedule/schedule.go
+++ b/bench/soak/schedule/schedule.go
@@ -17,16 +17,19 @@
 
 // Kinds of faults of boxes and links.
 const (
-	BoxStopped     Kind = "box_stopped"
-	BoxKilled      Kind = "box_killed"
-	BoxPaused      Kind = "box_paused"
-	BoxHangup      Kind = "box_hangup"
-	BoxCut         Kind = "box_cut"
-	LinkOneWay     Kind = "link_one_way"
-	LinkSilent     Kind = "link_silent"
-	LinkReset      Kind = "link_reset"
-	LinkDelayed    Kind = "link_delayed"
-	EndpointCut    Kind = "endpoint_cut"
+	BoxStopped  Kind = "box_stopped"
+	BoxKilled   Kind = "box_killed"
+	BoxPaused   Kind = "box_paused"
+	BoxHangup   Kind = "box_hangup"
+	BoxCut      Kind = "box_cut"
+	LinkOneWay  Kind = "link_one_way"
+	LinkSilent  Kind = "link_silent"
+	LinkReset   Kind = "link_reset"
+	LinkDelayed Kind = "link_delayed"
+	EndpointCut Kind = "endpoint_cut"
+	// EndpointsLost cuts one box, all of a zone or all but one from all endpoints, in one of three
+	// forms; callers, the store and the other boxes still reach them.
+	EndpointsLost  Kind = "box_loses_endpoints"
 	CallersReset   Kind = "callers_reset"
 	RollingRestart Kind = "rolling_restart"
 )
@@ -112,6 +115,7 @@
 	LinkReset:      {target: OnPair, weight: 2},
 	LinkDelayed:    {target: OnPair, weight: 2, minDuration: second, jitter: 4 * second},
 	EndpointCut:    {target: OnPlace, weight: 2, minDuration: second, jitter: 3 * second},
+	EndpointsLost:  {target: OnBox, weight: 4, minDuration: 6 * second, jitter: 4 * second},
 	CallersReset:   {target: OnBox, weight: 1},
 	RollingRestart: {target: OnBox, weight: 1, minDuration: 10 * second, jitter: 2 * second, unavailable: true},
 
@@ -151,7 +155,7 @@
 
 // optional are the kinds that are drawn only if they are asked for. Kinds that were added
 // later are here too, so that a seed still draws the schedule that it drew before.
-var optional = []Kind{ZoneDrained, TransfersStalled, PoisonRequest, EndpointLimited, EndpointTired, EndpointParting, StoreOlder}
+var optional = []Kind{ZoneDrained, TransfersStalled, PoisonRequest, EndpointLimited, EndpointTired, EndpointParting, StoreOlder, EndpointsLost}
 
 // ByDefault returns the kinds that are drawn for routed services unless others are asked for:
 // all except those that need an optional feature of a deployment and those that were added
@@ -288,6 +292,8 @@
 		switch {
 		case t.target == OnStore && other.target == OnStore:
 			return false
+		case e.Kind == EndpointsLost && o.Kind == EndpointsLost:
+			return false
 		case t.unavailable && other.unavailable && o.Box == e.Box:
 			return false
 		case e.Place >= 0 && o.Place == e.Place:
--- /dev/null
+++ b/bench/soak/unlinked.go
@@ -0,0 +1,79 @@
+// Copyright 2026 The Runridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package soak
+
+import (
+	"net/http"
+	"slices"
+	"time"
+
+	"runridge.example/runridge/bench/soak/check"
+	"runridge.example/runridge/bench/soak/schedule"
+)
+
+// minServedRatio is the fraction of the other boxes' share of answered requests that boxes without
+// links to endpoints must reach, from contactBound after they lost them.
+const minServedRatio = 2.0 / 3
+
+// share counts requests and those of them that were answered.
+type share struct{ asked, answered int }
+
+func (s share) ratio() float64 { return float64(s.answered) / float64(max(s.asked, 1)) }
+
+// checkUnlinked compares the boxes that lost their links to endpoints with those that kept them.
+func (r *run) checkUnlinked() {
+	for i, f := range r.record.Faults {
+		from := f.From.Add(contactBound)
+		if f.Kind != string(schedule.EndpointsLost) || !from.Before(f.To) || r.record.Stalled(f.From, f.To) {
+			continue
+		}
+		without, with := r.sharesOf(i, from)
+		if without.asked < minRequests || with.asked < minRequests {
+			continue
+		}
+		r.report.Count("served_without_links", without.ratio() >= minServedRatio*with.ratio(), "%v from %s to %s: %d of %d, the others %d of %d",
+			f.Unlinked, from.Format(clockFormat), f.To.Format(clockFormat), without.answered, without.asked, with.answered, with.asked)
+		if !r.overlapsOtherFault(i) {
+			r.report.Count("others_served_as_before", with.ratio() >= minGoodput, "while %v have lost their links: %d of %d",
+				f.Unlinked, with.answered, with.asked)
+		}
+	}
+}
+
+const clockFormat = "15:04:05.000"
+
+// sharesOf counts the requests at boxes without and with links from a time to the end of the fault
+// at an index. Requests at boxes that another fault affects are left out.
+func (r *run) sharesOf(index int, from time.Time) (without, with share) {
+	f := r.record.Faults[index]
+	for _, a := range r.record.Answers {
+		if a.Begun.Before(from) || a.Begun.After(f.To) || a.CallerLeft || a.Key == limitedKey || a.Poison != "" || a.Status == http.StatusUnauthorized {
+			continue
+		}
+		if r.boxDisturbed(index, a) {
+			continue
+		}
+		s := &with
+		if slices.Contains(f.Unlinked, a.Box) {
+			s = &without
+		}
+		s.asked++
+		if a.Status == http.StatusOK && a.Complete {
+			s.answered++
+		}
+	}
+	return without, with
+}
+
+// boxDisturbed reports whether a fault other than the one at an index affected the box of an answer
+// while its request was open.
+func (r *run) boxDisturbed(index int, a check.Answer) bool {
+	for i, o := range r.record.Faults {
+		if i != index && o.From.Before(a.Ended) && o.To.Add(check.EffectTime).After(a.Begun) &&
+			(slices.Contains(o.Boxes, a.Box) || slices.Contains(o.Unlinked, a.Box)) {
+			return true
+		}
+	}
+	return false
+}
--- a/bench/soak/watch.go
+++ b/bench/soak/watch.go
@@ -102,6 +102,7 @@
 	r.checkRecovery()
 	r.checkPlannedStops()
 	r.checkGoodput()
+	r.checkUnlinked()
 	r.checkBoxes()
 }
 
