--- a/box/status.go
+++ b/box/status.go
@@ -134,5 +134,7 @@
 		Drained:    b.countDrained,
 		Unknown:    b.unknownMessages,
 		Held:       func() map[string]int64 { return b.held.Status().ByKind },
+		LostPaths:  b.lostPaths,
+		Tunnels:    func() int { return b.net.Tunnels() },
 	})
 }
--- a/box/tunnel.go
+++ b/box/tunnel.go
@@ -84,3 +84,12 @@
 	s, _ := b.Directory().Status(endpoint)
 	return s.Zone
 }
+
+// lostPaths returns the number of endpoints that this box reaches only through others, and of those
+// that nobody reached a moment ago.
+func (b *Box) lostPaths() (throughPeers, unreached int) {
+	if b.routed == nil {
+		return 0, 0
+	}
+	return b.routed.endpoints.PathCounts()
+}
--- a/modules/metric/metric.go
+++ b/modules/metric/metric.go
@@ -38,6 +38,11 @@
 	Unknown func() map[string]uint64
 	// Flows returns the bytes sent to other boxes, by kind of message and distance.
 	Flows func() []Flow
+	// LostPaths returns the number of endpoints that this box reaches only through other boxes,
+	// and of those that no box reached a moment ago.
+	LostPaths func() (throughPeers, unreached int)
+	// Tunnels returns the number of connections that this box passes on for other boxes.
+	Tunnels func() int
 }
 
 // Flow is the number of bytes sent in messages of one kind to boxes at one distance.
@@ -116,6 +121,9 @@
 	if err := m.relayInstruments(meter); err != nil {
 		return nil, err
 	}
+	if err := observePaths(meter, cfg); err != nil {
+		return nil, err
+	}
 	return m, m.observe(meter, cfg)
 }
 
@@ -131,9 +139,6 @@
 	if m.sends, err = meter.Int64Counter("runridge.sends", metric.WithUnit("{send}"), metric.WithDescription("Arrivals at endpoints of routed services, by purpose.")); err != nil {
 		return err
 	}
-	if m.connections, err = meter.Int64Counter("runridge.endpoint.connections", metric.WithUnit("{connection}"), metric.WithDescription("Connections to endpoints of routed services, by service and way: direct, peer, or none if no box reached the endpoint.")); err != nil {
-		return err
-	}
 	if m.retriesDenied, err = meter.Int64Counter("runridge.retries.denied", metric.WithUnit("{retry}"), metric.WithDescription("Retries that the budget did not allow.")); err != nil {
 		return err
 	}
@@ -146,6 +151,9 @@
 	if m.stageOrders, err = meter.Int64Counter("runridge.stage.orders", metric.WithUnit("{order}"), metric.WithDescription("Orders to engines to change their stage, by stage and outcome.")); err != nil {
 		return err
 	}
+	if err := m.pathInstruments(meter); err != nil {
+		return err
+	}
 	if err := m.poisonInstruments(meter); err != nil {
 		return err
 	}
@@ -184,12 +192,6 @@
 	m.retriesDenied.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service)))
 }
 
-// EndpointConnected counts a connection to an endpoint by the way on which it was made: direct, peer,
-// or none if the endpoint was not reached.
-func (m *Metrics) EndpointConnected(service, way string) {
-	m.connections.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service), attribute.String("way", way)))
-}
-
 // ExchangeBroken counts an exchange with an endpoint that was interrupted; how is the kind of
 // interruption.
 func (m *Metrics) ExchangeBroken(service, how string) {
--- a/state/health/observers.go
+++ b/state/health/observers.go
@@ -21,8 +21,8 @@
 type Observers struct {
 	// last is the latest box whose request ended well, and before the latest one other than last.
 	last, before observation
-	// losing are the boxes whose latest request was lost, oldest first.
-	losing []observation
+	// losing are the boxes whose latest request was lost, in the order of their first losses.
+	losing []string
 }
 
 // observation is what a box observed, and when.
@@ -31,36 +31,29 @@
 	at  time.Time
 }
 
-func (o Observers) indexOfLosing(box string) int {
-	return slices.IndexFunc(o.losing, func(l observation) bool { return l.box == box })
-}
-
 // WithSuccess returns the observers after a request of a box ended well.
 func (o Observers) WithSuccess(now time.Time, box string) Observers {
 	if box != o.last.box {
 		o.before = o.last
 	}
 	o.last = observation{box: box, at: now}
-	if i := o.indexOfLosing(box); i >= 0 {
-		o.losing = slices.Delete(slices.Clone(o.losing), i, i+1)
+	if slices.Contains(o.losing, box) {
+		o.losing = slices.DeleteFunc(slices.Clone(o.losing), func(l string) bool { return l == box })
 	}
 	return o
 }
 
 // WithLost returns the observers after a request of a box was lost: the endpoint was not reached, or
-// the exchange broke off. counts is false if that is put down to the path of the box: it has lost
-// every request of late while others were answered. A number of other boxes that did not reach the
-// endpoint either makes it count.
+// the exchange broke off. counts is false if that is put down to the path of the box: it was not its
+// first loss since its last answer, and another box was answered a moment ago. A number of other
+// boxes that did not reach the endpoint either makes it count.
 func (o Observers) WithLost(now time.Time, box string, others int) (next Observers, counts bool) {
-	i := o.indexOfLosing(box)
-	if i < 0 {
-		losing := append(slices.Clone(o.losing), observation{box: box, at: now})
-		o.losing = losing[max(len(losing)-maxLosing, 0):]
-		return o, true
+	if slices.Contains(o.losing, box) {
+		return o, others > 0 || !o.AnsweredElsewhere(now, box)
 	}
-	ago, _ := o.OtherAnswered(now, box)
-	pathLost := o.AnsweredElsewhere(now, box) && now.Add(-ago).After(o.losing[i].at)
-	return o, others > 0 || !pathLost
+	losing := append(slices.Clone(o.losing), box)
+	o.losing = losing[max(len(losing)-maxLosing, 0):]
+	return o, true
 }
 
 // AnsweredElsewhere reports whether a request of another box has recently ended well.
--- a/transport/upstream/path.go
+++ b/transport/upstream/path.go
@@ -57,6 +57,8 @@
 	checkOpen     = 50 * time.Millisecond
 	// peersTimeout bounds the question to peers that follows a failed check.
 	peersTimeout = time.Second
+	// explainTime bounds the wait for the check of a path after an interrupted exchange.
+	explainTime = 30 * time.Millisecond
 	// checkPeers is how many peers are asked whether they reach an endpoint, and maxChecks how many
 	// other paths are checked once one is found lost.
 	checkPeers = 3
@@ -69,8 +71,9 @@
 type pathRecord struct {
 	endpoint  relay.Endpoint
 	state     path.State
-	checking  bool
 	checkedAt time.Time
+	// checked is closed when the check under way ends; nil if there is none.
+	checked chan struct{}
 }
 
 // pathOf returns the record of an endpoint, a new one if there is none. The mutex is held.
@@ -88,7 +91,7 @@
 
 // forgetPath forgets a path that works and is no longer in use. The mutex is held.
 func (c *Client) forgetPath(key poolKey) {
-	if p := c.paths[key]; p != nil && p.state.Direct() && !p.checking {
+	if p := c.paths[key]; p != nil && p.state.Direct() && p.checked == nil {
 		delete(c.paths, key)
 	}
 }
@@ -97,7 +100,7 @@
 func (c *Client) forgetStalePaths() {
 	now := time.Now()
 	for key, p := range c.paths {
-		if c.pools[key] == nil && !p.checking && p.state.Stale(now) {
+		if c.pools[key] == nil && p.checked == nil && p.state.Stale(now) {
 			delete(c.paths, key)
 		}
 	}
@@ -392,27 +395,36 @@
 }
 
 // checkPath checks in the background whether this box reaches an endpoint directly and, if not,
-// whether others do.
-func (c *Client) checkPath(key poolKey, e relay.Endpoint) {
+// whether others do. The channel is closed when the check under way ends; nil if there is none.
+func (c *Client) checkPath(key poolKey, e relay.Endpoint) <-chan struct{} {
 	if c.cfg.Peers == nil {
-		return
+		return nil
 	}
 	now := time.Now()
 	c.mutex.Lock()
+	defer c.mutex.Unlock()
 	p := c.pathOf(key, e)
-	if p.checking || now.Sub(p.checkedAt) < checkInterval {
-		c.mutex.Unlock()
-		return
+	if p.checked != nil || now.Sub(p.checkedAt) < checkInterval {
+		return p.checked
 	}
-	p.checking, p.checkedAt = true, now
-	p.state = p.state.WithTry(now)
-	c.mutex.Unlock()
+	done := make(chan struct{})
+	p.checked, p.checkedAt, p.state = done, now, p.state.WithTry(now)
 	go func() {
 		c.check(key, e)
 		c.mutex.Lock()
 		defer c.mutex.Unlock()
-		p.checking = false
+		p.checked = nil
+		close(done)
 	}()
+	return done
+}
+
+// pathIsLost reports whether this box does not reach an endpoint that another box reaches.
+func (c *Client) pathIsLost(key poolKey) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	p := c.paths[key]
+	return p != nil && !p.state.Direct() && p.state.Via() != ""
 }
 
 // check is the body of checkPath.
@@ -438,7 +450,7 @@
 func (c *Client) reachedThrough(e relay.Endpoint) (via string, reached bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), peersTimeout)
 	defer cancel()
-	tries := c.probes(e)
+	tries := c.probes(e, checkPeers)
 	winner, _, errs := race(ctx, tries)
 	c.notePeers(tries, errs)
 	if winner < 0 {
@@ -447,11 +459,11 @@
 	return tries[winner].via, true
 }
 
-// probes returns the questions to peers whether they reach an endpoint.
-func (c *Client) probes(e relay.Endpoint) []try {
+// probes returns the questions to at most limit peers whether they reach an endpoint.
+func (c *Client) probes(e relay.Endpoint, limit int) []try {
 	var out []try
 	candidates := c.candidates(e, "")
-	for _, p := range candidates[:min(len(candidates), checkPeers)] {
+	for _, p := range candidates[:min(len(candidates), limit)] {
 		out = append(out, try{via: p.Name, headStart: peerHeadStart, open: func(ctx context.Context) (net.Conn, error) {
 			return nil, c.cfg.Peers.ProbeThrough(ctx, p.Name, e.ID)
 		}})
@@ -533,7 +545,7 @@
 	if !errors.Is(err, syscall.ECONNREFUSED) {
 		return err
 	}
-	tries := c.probes(e)
+	tries := c.probes(e, path.MaxPeers)
 	if len(tries) == 0 {
 		return err
 	}
--- a/transport/upstream/silence.go
+++ b/transport/upstream/silence.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"runridge.example/runridge/coordination/adapter"
-	"runridge.example/runridge/coordination/relay"
 )
 
 // watchSilence starts the checks of the path that are made while the endpoint sends nothing.
@@ -55,7 +54,7 @@
 	next := silentAfter - time.Since(heard)
 	if next <= 0 {
 		next = silentAfter
-		c.checkPath(x.conn.key, x.endpoint())
+		c.checkPath(x.conn.key, x.call.Endpoint)
 	}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -64,16 +63,25 @@
 	}
 }
 
-func (x *exchange) endpoint() relay.Endpoint { return x.call.Endpoint }
-
-// explain adds to the error of an interrupted exchange that the path was found lost. After any other
-// interruption than by the caller the path is checked.
+// explain adds to the error of an interrupted exchange that the path was lost, not the endpoint. Unless
+// the caller interrupted it, the path is checked first.
 func (x *exchange) explain(ctx context.Context, err error) error {
-	switch {
-	case x.pathLost.Load():
+	if x.conn.via != "" || ctx.Err() != nil {
+		return err
+	}
+	if !x.pathLost.Load() {
+		if done := x.client.checkPath(x.conn.key, x.call.Endpoint); done != nil {
+			wait := time.NewTimer(explainTime)
+			defer wait.Stop()
+			select {
+			case <-done:
+			case <-wait.C:
+			case <-ctx.Done():
+			}
+		}
+	}
+	if x.pathLost.Load() || x.client.pathIsLost(x.conn.key) {
 		return errors.Join(err, adapter.ErrPathLost)
-	case x.conn.via == "" && ctx.Err() == nil:
-		x.client.checkPath(x.conn.key, x.endpoint())
 	}
 	return err
 }
