--- a/modules/timeline/timeline.go
+++ b/modules/timeline/timeline.go
@@ -33,7 +33,7 @@
 	"endpoint_list_regained", "endpoint_history_gone", "platform_watch_failed", "home_started", "home_ended",
 	"box_leaving", "own_pause_noticed", "settings_reloaded", "starting",
 	"stages_planned", "stage_ordered", "stage_order_unanswered", "quota_home_started", "quota_home_ended", "endpoint_watch_changed", "endpoint_entries_in_grace", "engine_ejected",
-	"endpoint_limit_told", "endpoint_limit_changed",
+	"endpoint_limit_told", "endpoint_limit_changed", "endpoint_path_lost", "endpoint_path_regained", "endpoint_unreached",
 }
 
 // leadTime is how long before a request's first line a state event still belongs to its
--- a/transport/upstream/path.go
+++ b/transport/upstream/path.go
@@ -168,55 +168,83 @@
 	open      func(ctx context.Context) (net.Conn, error)
 }
 
+// failedTry is a try that did not connect.
+type failedTry struct {
+	via string
+	err error
+}
+
+// raced is the result of a race. Without a winner via and conn are empty.
+type raced struct {
+	won  bool
+	via  string
+	conn net.Conn
+	// failed are the tries that failed before the end of the race.
+	failed []failedTry
+}
+
+// directError returns how the direct path failed; nil if it was not tried or is still open.
+func (r raced) directError() error {
+	for _, f := range r.failed {
+		if f.via == "" {
+			return f.err
+		}
+	}
+	return nil
+}
+
 // tried is the result of a try.
 type tried struct {
-	index int
-	conn  net.Conn
-	err   error
+	try  try
+	conn net.Conn
+	err  error
 }
 
 // race makes the tries in turn until one succeeds: each begins when the one before it has failed or
-// has used up its head start. It returns the index of the successful one, -1 if there is none, and
-// the errors of those that failed; a try that is still open then has none.
-func race(ctx context.Context, tries []try) (winner int, raw net.Conn, errs []error) {
+// has used up its head start. more returns further tries once there are none left to begin; it may be
+// nil.
+func race(ctx context.Context, tries []try, more func() []try) raced {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	errs = make([]error, len(tries))
-	results := make(chan tried, len(tries))
-	started, ended := 0, 0
-	defer func() {
-		go closeLosers(results, started-ended)
-	}()
-	timer := time.NewTimer(0)
-	defer timer.Stop()
+	var out raced
+	results := make(chan tried)
+	open := 0
+	defer func() { go closeLosers(results, open) }()
+	headStart := time.NewTimer(0)
+	defer headStart.Stop()
 	begin := func() {
-		if started == len(tries) {
+		if len(tries) == 0 && more != nil {
+			tries, more = more(), nil
+		}
+		if len(tries) == 0 {
 			return
 		}
-		i := started
-		started++
-		timer.Reset(tries[i].headStart)
+		next := tries[0]
+		tries = tries[1:]
+		open++
+		headStart.Reset(next.headStart)
 		go func() {
-			conn, err := tries[i].open(ctx)
-			results <- tried{index: i, conn: conn, err: err}
+			conn, err := next.open(ctx)
+			results <- tried{try: next, conn: conn, err: err}
 		}()
 	}
-	for ended < len(tries) {
+	for begin(); open > 0; {
 		select {
-		case <-timer.C:
+		case <-headStart.C:
 			begin()
 		case r := <-results:
-			ended++
+			open--
 			if r.err == nil {
-				return r.index, r.conn, errs
+				out.won, out.via, out.conn = true, r.try.via, r.conn
+				return out
 			}
-			errs[r.index] = r.err
+			out.failed = append(out.failed, failedTry{via: r.try.via, err: r.err})
 			begin()
 		case <-ctx.Done():
-			return -1, nil, errs
+			return out
 		}
 	}
-	return -1, nil, errs
+	return out
 }
 
 // closeLosers closes the connections of tries that end after the race.
@@ -228,29 +256,34 @@
 	}
 }
 
-// tries returns the ways to connect to an endpoint: directly first while that works, otherwise
-// through peers first.
-func (c *Client) tries(s path.State, e relay.Endpoint) []try {
-	direct := try{headStart: directHeadStart, open: func(ctx context.Context) (net.Conn, error) {
+// direct returns the direct way to an endpoint.
+func (c *Client) direct(e relay.Endpoint) try {
+	return try{headStart: directHeadStart, open: func(ctx context.Context) (net.Conn, error) {
 		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 		defer cancel()
 		return c.cfg.Dial(ctx, e.Address)
 	}}
+}
+
+// throughPeers returns the ways to an endpoint through peers.
+func (c *Client) throughPeers(e relay.Endpoint, via string) []try {
 	var out []try
-	if s.Direct() {
-		out = append(out, direct)
-	}
-	for _, p := range c.candidates(e, s.Via()) {
+	for _, p := range c.candidates(e, via) {
 		out = append(out, try{via: p.Name, headStart: peerHeadStart, open: func(ctx context.Context) (net.Conn, error) {
 			return c.cfg.Peers.OpenTunnel(ctx, p.Name, e.ID)
 		}})
 	}
-	if !s.Direct() {
-		out = append(out, direct)
-	}
 	return out
 }
 
+// raceTo connects to an endpoint: directly first while that works, otherwise through peers first.
+func (c *Client) raceTo(ctx context.Context, s path.State, e relay.Endpoint) raced {
+	if s.Direct() {
+		return race(ctx, []try{c.direct(e)}, func() []try { return c.throughPeers(e, "") })
+	}
+	return race(ctx, append(c.throughPeers(e, s.Via()), c.direct(e)), nil)
+}
+
 // connect opens a connection to an endpoint, directly or through another box, whose name it returns.
 // The error of a connection that could not be made is an adapter.UnreachedError.
 func (c *Client) connect(ctx context.Context, key poolKey, e relay.Endpoint) (raw net.Conn, via string, err error) {
@@ -265,40 +298,34 @@
 	}
 	bounded, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	tries := c.tries(s, e)
-	winner, raw, errs := race(bounded, tries)
-	if winner < 0 && ctx.Err() != nil {
-		return nil, "", ctx.Err()
-	}
-	c.notePeers(tries, errs)
+	r := c.raceTo(bounded, s, e)
+	c.notePeers(r)
 	switch {
-	case winner < 0:
-		unreached := unreachedError(tries, errs)
-		c.noteUnreached(key, e, unreached)
-		return nil, "", unreached
-	case tries[winner].via == "":
+	case r.won && r.via == "":
 		c.noteReached(key)
 		c.countWay(e.Service, wayDirect)
-	default:
-		via = tries[winner].via
+		return r.conn, "", nil
+	case r.won:
 		if s.Direct() {
-			c.noteLost(key, e, via, errs[0])
+			c.noteLost(key, e, r.via, r.directError())
 		} else {
-			c.noteVia(key, via)
+			c.noteVia(key, r.via)
 		}
 		c.countWay(e.Service, wayPeer)
+		return r.conn, r.via, nil
+	case ctx.Err() != nil:
+		return nil, "", ctx.Err()
 	}
-	return raw, via, nil
+	unreached := unreachedError(r)
+	c.noteUnreached(key, e, unreached)
+	return nil, "", unreached
 }
 
 // unreachedError returns the error of a race without a winner.
-func unreachedError(tries []try, errs []error) *adapter.UnreachedError {
-	out := &adapter.UnreachedError{}
-	for i, err := range errs {
-		switch {
-		case tries[i].via == "":
-			out.Err = err
-		case errors.Is(err, boxnet.ErrTunnelUnreached):
+func unreachedError(r raced) *adapter.UnreachedError {
+	out := &adapter.UnreachedError{Err: r.directError()}
+	for _, f := range r.failed {
+		if errors.Is(f.err, boxnet.ErrTunnelUnreached) {
 			out.Others++
 		}
 	}
@@ -309,13 +336,13 @@
 }
 
 // notePeers records which peers could not connect this box.
-func (c *Client) notePeers(tries []try, errs []error) {
+func (c *Client) notePeers(r raced) {
 	until := time.Now().Add(failedPeerTime)
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	for i, err := range errs {
-		if err != nil && tries[i].via != "" {
-			c.failedPeers[tries[i].via] = until
+	for _, f := range r.failed {
+		if f.via != "" {
+			c.failedPeers[f.via] = until
 		}
 	}
 }
@@ -457,13 +484,9 @@
 func (c *Client) reachedThrough(e relay.Endpoint) (via string, reached bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), peersTimeout)
 	defer cancel()
-	tries := c.probes(e, checkPeers)
-	winner, _, errs := race(ctx, tries)
-	c.notePeers(tries, errs)
-	if winner < 0 {
-		return "", false
-	}
-	return tries[winner].via, true
+	r := race(ctx, c.probes(e, checkPeers), nil)
+	c.notePeers(r)
+	return r.via, r.won
 }
 
 // probes returns the questions to at most limit peers whether they reach an endpoint.
@@ -556,12 +579,12 @@
 	if len(tries) == 0 {
 		return err
 	}
-	winner, _, errs := race(ctx, tries)
-	if winner >= 0 {
+	r := race(ctx, tries, nil)
+	if r.won {
 		return nil
 	}
-	for _, other := range errs {
-		if errors.Is(other, syscall.ECONNREFUSED) {
+	for _, other := range r.failed {
+		if errors.Is(other.err, syscall.ECONNREFUSED) {
 			return err
 		}
 	}
