Ways through other boxes stay in the regions of the box and of the endpoint

A peer in a third region could have passed on the bytes of a request that is bound to other regions. Found by reading. TestTunnelsCrossRegionsThatNeitherEndIsIn fails without the condition (deliberate fault tunnels_through_any_region).

--- a/box/routed.go
+++ b/box/routed.go
@@ -92,6 +92,7 @@
 		Dial:    b.options.DialEndpoint,
 		Box:     b.settings.Name,
 		Zone:    b.settings.Zone,
+		Regions: b.regions,
 		ZoneOf:  b.zoneOf,
 		Peers:   tunnelPeers{b},
 		Metrics: b.metrics,
--- a/box/tunnel.go
+++ b/box/tunnel.go
@@ -26,7 +26,7 @@
 	var out []path.Peer
 	for _, other := range t.b.members.Snapshot().Duty {
 		if other.Name != t.b.settings.Name && other.State == member.Live && t.b.net.Reads(other.Name, boxwire.KindTunnel) {
-			out = append(out, path.Peer{Name: other.Name, Zone: other.Zone})
+			out = append(out, path.Peer{Name: other.Name, Zone: other.Zone, Region: t.b.regions.Of(other.Zone)})
 		}
 	}
 	return out
--- a/state/path/path_test.go
+++ b/state/path/path_test.go
@@ -52,6 +52,18 @@
 	})
 }
 
+func TestTunnelsCrossRegionsThatNeitherEndIsIn(t *testing.T) {
+	convey.Convey("Only peers in the region of the box or of the endpoint are asked", t, func() {
+		peers := []Peer{{Name: "home", Region: "r1"}, {Name: "third", Region: "r3"}, {Name: "there", Region: "r2"}}
+		var names []string
+		for _, p := range Order(Need{Endpoint: "e", Region: "r2", Box: "a", BoxRegion: "r1"}, peers) {
+			names = append(names, p.Name)
+		}
+		convey.So(names, convey.ShouldHaveLength, 2)
+		convey.So(names, convey.ShouldNotContain, "third")
+	})
+}
+
 func ExampleOrder() {
 	peers := []Peer{
 		{Name: "far", Zone: "z3"},
--- a/state/path/peer.go
+++ b/state/path/peer.go
@@ -12,15 +12,16 @@
 
 // Peer is another box that may reach an endpoint.
 type Peer struct {
-	Name, Zone string
+	Name, Zone, Region string
 	// Failed reports that it recently could not connect this box to an endpoint.
 	Failed bool
 }
 
-// Need is what a box needs a peer for: the endpoint with its zone, and the box's own name and zone.
+// Need is what a box needs a peer for: the endpoint with its zone and region, and the same of the box
+// itself.
 type Need struct {
-	Endpoint, Zone string
-	Box, BoxZone   string
+	Endpoint, Zone, Region  string
+	Box, BoxZone, BoxRegion string
 	// Via is the peer through which the endpoint was last reached; empty if none.
 	Via string
 }
@@ -50,10 +51,13 @@
 }
 
 // Order returns the peers to ask, the best first, at most MaxPeers. Peers of the same rank come in
-// an order that differs by box and endpoint, so that the load spreads over them.
+// an order that differs by box and endpoint, so that the load spreads over them. Peers in a third
+// region are left out, since requests may be bound to the regions of the box and of the endpoint.
 func Order(n Need, peers []Peer) []Peer {
+	near := func(p Peer) bool { return p.Region == n.Region || p.Region == n.BoxRegion }
 	score := func(p Peer) uint64 { return xxhash.Sum64String(n.Box + "\x00" + n.Endpoint + "\x00" + p.Name) }
-	out := slices.SortedFunc(slices.Values(peers), func(a, b Peer) int {
+	out := slices.DeleteFunc(slices.Clone(peers), func(p Peer) bool { return !near(p) })
+	slices.SortFunc(out, func(a, b Peer) int {
 		return cmp.Or(cmp.Compare(n.cost(a), n.cost(b)), cmp.Compare(score(a), score(b)))
 	})
 	return out[:min(len(out), MaxPeers)]
--- a/tests/mutants/path.go
+++ b/tests/mutants/path.go
@@ -21,6 +21,14 @@
 		name: "one_box_ejects_for_all", file: "state/schedule/learn.go", pkg: "./state/schedule", args: only("TestEngineLostByOneBoxIsEjectedForAll"),
 		old: "if r.Unreachable && (r.OthersUnreached > 0 || !e.observers.AnsweredElsewhere(now, box)) {", fault: "if r.Unreachable {",
 	},
+	{
+		name: "tunnels_through_any_region", file: "state/path/peer.go", pkg: "./state/path", args: only("TestTunnelsCrossRegionsThatNeitherEndIsIn"),
+		old: "return p.Region == n.Region || p.Region == n.BoxRegion", fault: "return p.Name != n.Box",
+	},
+	{
+		name: "path_that_hangs_is_waited_for", file: "transport/upstream/path.go", pkg: "./transport/upstream", args: only("TestConnectHangsOnLostPaths"),
+		old: "		case <-headStart.C:\n			begin()\n", fault: "",
+	},
 	{
 		name: "refusal_of_one_box_is_an_end", file: "transport/upstream/path.go", pkg: "./tests/routed", args: only("TestEndpointThatRefusesOneBoxCountsAsEnded"),
 		old: "	if len(tries) == 0 {\n		return err\n", fault: "	if len(tries) >= 0 {\n		return err\n",
--- a/transport/upstream/path.go
+++ b/transport/upstream/path.go
@@ -153,10 +153,11 @@
 		peers[i].Failed = now.Before(c.failedPeers[peers[i].Name])
 	}
 	c.mutex.Unlock()
-	need := path.Need{Endpoint: e.ID, Box: c.cfg.Box, BoxZone: c.cfg.Zone, Via: via}
+	need := path.Need{Endpoint: e.ID, Box: c.cfg.Box, BoxZone: c.cfg.Zone, BoxRegion: c.cfg.Regions.Of(c.cfg.Zone), Via: via}
 	if c.cfg.ZoneOf != nil {
 		need.Zone = c.cfg.ZoneOf(e.ID)
 	}
+	need.Region = c.cfg.Regions.Of(need.Zone)
 	return path.Order(need, peers)
 }
 
--- a/transport/upstream/upstream.go
+++ b/transport/upstream/upstream.go
@@ -23,6 +23,7 @@
 	"runridge.example/runridge/modules/log"
 	"runridge.example/runridge/modules/socket"
 	"runridge.example/runridge/protocol/relayapi"
+	"runridge.example/runridge/state/locality"
 	"runridge.example/runridge/transport/reach"
 )
 
@@ -50,9 +51,10 @@
 	Notices *notice.Keeper
 	// Dial opens a connection to the address of an endpoint; nil means over TCP.
 	Dial reach.Dial
-	// Box and Zone are this box's name and availability zone, and ZoneOf returns the zone of an
-	// endpoint, empty if unknown; nil means that none is known.
+	// Box and Zone are this box's name and availability zone, Regions maps zones to regions, and
+	// ZoneOf returns the zone of an endpoint, empty if unknown; nil means that none is known.
 	Box, Zone string
+	Regions   locality.Map
 	ZoneOf    func(id string) string
 	// Peers connects to endpoints that this box does not reach; nil means that nobody does.
 	Peers Peers
