Test: a planned stop of the box between cuts off no request

Green as the code is; red if a box that stops does not wait for the connections that it passes on for others (deliberate fault stop_cuts_tunnels).

--- a/tests/mutants/path.go
+++ b/tests/mutants/path.go
@@ -29,6 +29,10 @@
 		name: "path_that_hangs_is_waited_for", file: "transport/upstream/path.go", pkg: "./transport/upstream", args: only("TestConnectHangsOnLostPaths"),
 		old: "		case <-headStart.C:\n			begin()\n", fault: "",
 	},
+	{
+		name: "stop_cuts_tunnels", file: "box/box.go", pkg: "./tests/routed", args: only("TestStopOfTheBoxBetweenCutsOffRequests"),
+		old: "b.routed.server.Delivering() + b.net.Tunnels()", fault: "b.routed.server.Delivering()",
+	},
 	{
 		name: "refusal_of_one_box_is_an_end", file: "transport/upstream/path.go", pkg: "./tests/routed", args: only("TestEndpointThatRefusesOneBoxCountsAsEnded"),
 		old: "	if len(tries) == 0 {\n		return err\n", fault: "	if len(tries) >= 0 {\n		return err\n",
--- a/tests/routed/unreached_test.go
+++ b/tests/routed/unreached_test.go
@@ -252,3 +252,33 @@
 		convey.So(strings.Contains(s.logs.String(), "poison_suspected"), convey.ShouldBeFalse)
 	})
 }
+
+// TestStopOfTheBoxBetweenCutsOffRequests guards against planned stops that cut off the requests of
+// other boxes.
+func TestStopOfTheBoxBetweenCutsOffRequests(t *testing.T) {
+	convey.Convey("Streams through boxes that are stopped are whole", t, func() {
+		links := &endpointLinks{}
+		s := newSiteWithLinks(t, links)
+		for _, e := range s.endpoints {
+			e.EventGap = 100 * time.Millisecond
+		}
+		links.set(linksReset)
+		const inFlight = 6
+		answers := make(chan answer, inFlight)
+		for range inFlight {
+			go func() { answers <- s.send(s.boxes[0], http.MethodGet, "/stream/x", "", nil) }()
+		}
+		s.eventually("the streams run", func() bool { return s.allRuns() == inFlight })
+		for _, b := range s.boxes[1:] {
+			b.stop()
+		}
+		for range inFlight {
+			a := <-answers
+			convey.So(a.status, convey.ShouldEqual, http.StatusOK)
+			convey.So(a.complete, convey.ShouldBeTrue)
+		}
+		for _, b := range s.boxes[1:] {
+			<-b.done
+		}
+	})
+}
