--- a/state/schedule/lost_test.go
+++ b/state/schedule/lost_test.go
@@ -10,7 +10,7 @@
 	"github.com/smartystreets/goconvey/convey"
 )
 
-// TestEngineLostByOneBoxIsEjectedForAll guards against ejecting an engine that answers other boxes.
+// An engine that answers other boxes is not ejected by the reports of one.
 func TestEngineLostByOneBoxIsEjectedForAll(t *testing.T) {
 	cases := map[string]struct {
 		report  Report
--- a/tests/routed/unreached_test.go
+++ b/tests/routed/unreached_test.go
@@ -161,7 +161,7 @@
 	return s
 }
 
-// answered sends requests on a path to a box, some at a time, and returns how many are answered.
+// answered sends requests on a path to a box, five at a time, and returns how many are answered.
 func (s *site) answered(b *runningBox, path string, count int) int {
 	const concurrent = 5
 	var mutex sync.Mutex
@@ -183,8 +183,7 @@
 	return ok
 }
 
-// TestBoxThatLostItsLinksToEndpointsFailsItsCallers guards against callers that are served worse at
-// a box that reaches no endpoint than at the others.
+// Callers of a box that reaches no endpoint are served nearly as often as those of other boxes.
 func TestBoxThatLostItsLinksToEndpointsFailsItsCallers(t *testing.T) {
 	cases := map[string]linkState{"hang": linksHang, "are reset": linksReset, "refuse new connections": linksRefuse}
 	for name, state := range cases {
@@ -212,8 +211,7 @@
 	}
 }
 
-// TestEndpointThatOneBoxDoesNotReachIsEjectedForAll guards against one box's lost links taking
-// endpoints out for the boxes that reach them.
+// The lost links of one box take no endpoint out for the boxes that reach it.
 func TestEndpointThatOneBoxDoesNotReachIsEjectedForAll(t *testing.T) {
 	convey.Convey("An endpoint that refuses one box alone goes on serving the others", t, func() {
 		links := &endpointLinks{}
@@ -230,8 +228,7 @@
 	})
 }
 
-// TestEndpointThatRefusesOneBoxCountsAsEnded guards against requests that count as poisonous
-// because their box has lost its links.
+// Requests of a box that has lost its links are not suspected of ending endpoints.
 func TestEndpointThatRefusesOneBoxCountsAsEnded(t *testing.T) {
 	convey.Convey("Requests that break off with the links of their box are not suspected", t, func() {
 		links := &endpointLinks{}
@@ -253,8 +250,7 @@
 	})
 }
 
-// TestStopOfTheBoxBetweenCutsOffRequests guards against planned stops that cut off the requests of
-// other boxes.
+// A planned stop cuts off no requests of other boxes that go through the box.
 func TestStopOfTheBoxBetweenCutsOffRequests(t *testing.T) {
 	convey.Convey("Streams through boxes that are stopped are whole", t, func() {
 		links := &endpointLinks{}
--- a/transport/boxnet/tunnel_test.go
+++ b/transport/boxnet/tunnel_test.go
@@ -89,8 +89,7 @@
 	return a, b, stop
 }
 
-// TestTunnelMakesCutAnswersLookComplete guards against answers without a length that look complete
-// because a tunnel ended.
+// An answer without a length does not look complete because a tunnel ended.
 func TestTunnelMakesCutAnswersLookComplete(t *testing.T) {
 	stopped := make(chan struct{})
 	cases := map[string]struct {
--- a/transport/upstream/path.go
+++ b/transport/upstream/path.go
@@ -310,7 +310,7 @@
 		if s.Direct() {
 			c.noteLost(key, e, r.via, r.directError())
 		} else {
-			c.noteVia(key, r.via)
+			c.noteVia(key, e, r.via)
 		}
 		c.countWay(e.Service, wayPeer)
 		return r.conn, r.via, nil
@@ -372,15 +372,26 @@
 	}
 }
 
-// noteVia records that another box reached an endpoint.
-func (c *Client) noteVia(key poolKey, via string) {
+// noteVia records that another box reached an endpoint whose direct path was lost before.
+func (c *Client) noteVia(key poolKey, e relay.Endpoint, via string) {
 	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	if p := c.paths[key]; p != nil {
-		p.state = p.state.WithVia(via)
+	p := c.pathOf(key, e)
+	was := p.state
+	p.state = p.state.WithVia(via)
+	c.mutex.Unlock()
+	if was.Via() == "" {
+		c.logLost(e, via, adapter.BreakNone)
 	}
 }
 
+// logLost logs that this box does not reach an endpoint that another box reaches; found is how the
+// direct path failed just now.
+func (c *Client) logLost(e relay.Endpoint, via string, found adapter.Break) {
+	c.cfg.Log.WithFields(log.Fields{
+		log.FieldEngine: e.ID, "service": e.Service, "via": via, "found": string(found),
+	}).Info("endpoint_path_lost")
+}
+
 // noteLost records that the direct path to an endpoint failed while another box reached it. Then the
 // paths to other endpoints may be lost as well.
 func (c *Client) noteLost(key poolKey, e relay.Endpoint, via string, cause error) {
@@ -392,9 +403,7 @@
 	if !was.Direct() && was.Via() != "" {
 		return
 	}
-	c.cfg.Log.WithFields(log.Fields{
-		log.FieldEngine: e.ID, "service": e.Service, "via": via, "found": string(foundOf(cause)),
-	}).Info("endpoint_path_lost")
+	c.logLost(e, via, foundOf(cause))
 	c.checkOthers(key)
 }
 
--- a/transport/upstream/path_test.go
+++ b/transport/upstream/path_test.go
@@ -62,8 +62,7 @@
 	return err
 }
 
-// TestConnectHangsOnLostPaths guards against connections that wait for a path that does not answer
-// while another one does.
+// A connection does not wait for a path that does not answer while another one does.
 func TestConnectHangsOnLostPaths(t *testing.T) {
 	refused := way{err: errors.New("refused")}
 	unreached := way{err: boxnet.ErrTunnelUnreached}
