An answer that breaks off in its body is reported at once

TestEndpointCutsUnread failed, 7 of 7 runs: since the error of a body waited up to 30 ms for the check of its path, so the stall of a caller that had not read no longer explained the break, and the request was sent again. The path is still checked, but not awaited there.

--- a/transport/upstream/exchange.go
+++ b/transport/upstream/exchange.go
@@ -100,7 +100,7 @@
 func (x *exchange) fail(ctx context.Context, err error) error {
 	x.stop()
 	x.endWatch()
-	err = x.explain(ctx, err)
+	err = x.explain(ctx, err, explainTime)
 	if x.conn.reused && time.Since(x.begun) < x.client.roundTrip(x.conn.key) {
 		// The failure arrived sooner than a round trip takes, so the endpoint had ended
 		// the connection before the request reached it. Without the mark, a failure of
@@ -271,7 +271,8 @@
 	if !errors.Is(err, io.EOF) {
 		b.x.stop()
 		b.x.conn.retire()
-		return n, b.x.explain(b.x.ctx, err)
+		// The time of the error tells whether the caller's reading was the cause, so it is not delayed.
+		return n, b.x.explain(b.x.ctx, err, 0)
 	}
 	b.finish()
 	return n, io.EOF
--- a/transport/upstream/silence.go
+++ b/transport/upstream/silence.go
@@ -64,14 +64,14 @@
 }
 
 // explain adds to the error of an interrupted exchange that the path was lost, not the endpoint. Unless
-// the caller interrupted it, the path is checked first.
-func (x *exchange) explain(ctx context.Context, err error) error {
+// the caller interrupted it, the path is checked, and the check awaited for at most the given time.
+func (x *exchange) explain(ctx context.Context, err error, patience time.Duration) error {
 	if x.conn.via != "" || ctx.Err() != nil {
 		return err
 	}
 	if !x.pathLost.Load() {
-		if done := x.client.checkPath(x.conn.key, x.call.Endpoint); done != nil {
-			wait := time.NewTimer(explainTime)
+		if done := x.client.checkPath(x.conn.key, x.call.Endpoint); done != nil && patience > 0 {
+			wait := time.NewTimer(patience)
 			defer wait.Stop()
 			select {
 			case <-done:
