Soak: one place for what counts as answered, which requests count, and whether a fault overlaps

The comparison of boxes without links had copied them from the check of goodput and of planned stops, and the layout of times for a third time. check.Answer.Answered, check.Fault.Overlaps, countsForGoodput and check.TimeFormat serve all (the completions run too).

--- a/bench/soak/check/answers.go
+++ b/bench/soak/check/answers.go
@@ -14,7 +14,7 @@
 // checkAnswer compares what one caller saw with what endpoints ran.
 func (v *verifier) checkAnswer(a *Answer) {
 	runs := v.countRuns(a.ID)
-	if a.Status == http.StatusOK && a.Complete {
+	if a.Answered() {
 		v.report.Count("whole_own_answer", a.Mismatch == "", "%s at %s on %s: %s", a.ID, a.Box, a.Route, a.Mismatch)
 		v.report.Count("answered_by_a_run", runs > 0, "%s at %s on %s was answered and never ran", a.ID, a.Box, a.Route)
 	}
@@ -59,7 +59,7 @@
 	if reachable {
 		late := a.Begun.Sub(since) - v.bounds.KeyGiven
 		v.report.Count("valid_key_is_taken", late <= 0, "%s at %s: a key of %s was refused at %s, %s after the bound",
-			a.ID, a.Box, issued.Format(timeFormat), a.Begun.Format(timeFormat), late)
+			a.ID, a.Box, issued.Format(TimeFormat), a.Begun.Format(TimeFormat), late)
 	}
 }
 
@@ -117,7 +117,7 @@
 		}
 		left := h.End == "" || h.End == standin.Expired
 		v.report.Count("no_handle_left", !left, "%s of %s at %s, made %s, was kept for %s and never fetched or freed",
-			h.Name, h.ID, h.Endpoint, h.Made.Format(timeFormat), end.Sub(h.Made))
+			h.Name, h.ID, h.Endpoint, h.Made.Format(TimeFormat), end.Sub(h.Made))
 	}
 }
 
@@ -132,8 +132,8 @@
 	return a != nil && a.CallerLeft && h.Made.After(a.Ended.Add(-maxTransit))
 }
 
-// timeFormat is the layout of times in details.
-const timeFormat = "15:04:05.000"
+// TimeFormat is the layout of times in details.
+const TimeFormat = "15:04:05.000"
 
 // IDSeparator ends the name of the box in a request id.
 const IDSeparator = "."
@@ -205,7 +205,7 @@
 	}
 	late := a.At.Sub(since) - bound
 	v.report.Count(name, late <= 0, "%s reached %s %s after the bound of %s for %s of %s",
-		a.ID, a.Endpoint, late, bound, c.Target, c.At.Format(timeFormat))
+		a.ID, a.Endpoint, late, bound, c.Target, c.At.Format(TimeFormat))
 }
 
 // checkRegions checks that a request is served only in zones that its route and its account
--- a/bench/soak/check/check.go
+++ b/bench/soak/check/check.go
@@ -4,6 +4,7 @@
 package check
 
 import (
+	"net/http"
 	"slices"
 	"time"
 
@@ -31,6 +32,9 @@
 	RefusedAsPoison bool
 }
 
+// Answered reports whether the caller got a complete answer of an endpoint.
+func (a Answer) Answered() bool { return a.Status == http.StatusOK && a.Complete }
+
 // Fault is one fault as it was injected.
 type Fault struct {
 	Kind  string
@@ -46,6 +50,11 @@
 	From, To time.Time
 }
 
+// Overlaps reports whether the fault, or its aftermath, lasted at some moment between two times.
+func (f Fault) Overlaps(from, to time.Time) bool {
+	return f.From.Before(to) && f.To.Add(EffectTime).After(from)
+}
+
 // Change is an operator action that must take effect within a bound.
 type Change struct {
 	// Target is the key, zone or endpoint that must receive no more requests.
@@ -142,7 +151,7 @@
 func (v *verifier) faultOverlaps(box, place string, from, to time.Time) bool {
 	return slices.ContainsFunc(v.Faults, func(f Fault) bool {
 		affects := f.Machine || slices.Contains(f.Boxes, box) || (place != "" && (f.Place == place || slices.Contains(f.Unlinked, box)))
-		return affects && f.From.Before(to) && f.To.Add(EffectTime).After(from)
+		return affects && f.Overlaps(from, to)
 	})
 }
 
--- a/bench/soak/check/closed.go
+++ b/bench/soak/check/closed.go
@@ -72,5 +72,5 @@
 		}
 	}
 	v.report.Count("rest", count <= maxRestArrivals, "%s got %d from %s in the rest of %s from %s on",
-		key.endpoint, count, key.box, answer.Rest, answer.Ended.Format(timeFormat))
+		key.endpoint, count, key.box, answer.Rest, answer.Ended.Format(TimeFormat))
 }
--- a/bench/soak/check/limit.go
+++ b/bench/soak/check/limit.go
@@ -62,7 +62,7 @@
 	}
 	forEachWindow(enforced, limitWindow, func(at time.Time, count int) {
 		allowed := limitOverage*v.highestLimit(arrivals, at)*limitWindow.Seconds() + limitSlack
-		v.report.Count("named_limit", float64(count) <= allowed, "%s got %d of %.1f in the window up to %s", endpoint, count, allowed, at.Format(timeFormat))
+		v.report.Count("named_limit", float64(count) <= allowed, "%s got %d of %.1f in the window up to %s", endpoint, count, allowed, at.Format(TimeFormat))
 	})
 }
 
--- a/bench/soak/check/poison.go
+++ b/bench/soak/check/poison.go
@@ -40,7 +40,7 @@
 			}
 		}
 		v.report.Count("poison_contained", late <= maxKnownArrivals, "%s ended %d endpoints, and arrived %d times after %s, when all had to know it",
-			name, ends, late, known.Format(timeFormat))
+			name, ends, late, known.Format(TimeFormat))
 	}
 }
 
--- a/bench/soak/check/windows.go
+++ b/bench/soak/check/windows.go
@@ -29,7 +29,7 @@
 		forEachWindow(times, v.bounds.QuotaWindow, func(at time.Time, count int) {
 			q := v.highestQuota(quotas[account], at.Add(-v.bounds.QuotaWindow), at)
 			limit := (q.Rate*v.bounds.QuotaWindow.Seconds()+q.Burst)*(1+v.bounds.QuotaOverage) + v.bounds.QuotaSlack
-			v.report.Count("quota", float64(count) <= limit, "%s used %d of %.0f in the window up to %s", account, count, limit, at.Format(timeFormat))
+			v.report.Count("quota", float64(count) <= limit, "%s used %d of %.0f in the window up to %s", account, count, limit, at.Format(TimeFormat))
 		})
 	}
 }
@@ -110,7 +110,7 @@
 		forEachWindow(c.repeated, v.bounds.RetryWindow, func(at time.Time, count int) {
 			limit := v.bounds.RetryRatio*float64(v.maxRequests(c.requests, at)) + v.bounds.RetrySlack
 			v.report.Count("retry_budget", float64(count) <= limit, "%s got %d further arrivals of %.0f in the window up to %s",
-				name, count, limit, at.Format(timeFormat))
+				name, count, limit, at.Format(TimeFormat))
 		})
 	}
 }
@@ -143,7 +143,7 @@
 	for endpoint, times := range reached {
 		forEachWindow(times, time.Second, func(at time.Time, count int) {
 			v.report.Count("cold_pace", float64(count) <= limit, "%s got %d of %.1f in the second up to %s while cold",
-				endpoint, count, limit, at.Format(timeFormat))
+				endpoint, count, limit, at.Format(TimeFormat))
 		})
 	}
 }
--- a/bench/soak/completions/completions.go
+++ b/bench/soak/completions/completions.go
@@ -116,7 +116,7 @@
 	}) {
 		time.Sleep(time.Until(start.Add(e.At)))
 		r.result.Faults[e.Kind]++
-		_, _ = fmt.Fprintf(r.cfg.Out, "soak at=%s %s\n", time.Now().Format("15:04:05.000"), e)
+		_, _ = fmt.Fprintf(r.cfg.Out, "soak at=%s %s\n", time.Now().Format(check.TimeFormat), e)
 		r.active.Go(func() { r.inject(ctx, e) })
 	}
 	time.Sleep(time.Until(start.Add(r.cfg.Length)))
--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -66,7 +66,7 @@
 	r.mutex.Lock()
 	r.result.Faults[e.Kind]++
 	r.mutex.Unlock()
-	_, _ = fmt.Fprintf(r.cfg.Out, "soak at=%s %s\n", time.Now().Format("15:04:05.000"), e)
+	_, _ = fmt.Fprintf(r.cfg.Out, "soak at=%s %s\n", time.Now().Format(check.TimeFormat), e)
 	r.active.Go(func() { r.actionFor(e.Kind)(ctx, e) })
 }
 
--- a/bench/soak/judge.go
+++ b/bench/soak/judge.go
@@ -33,7 +33,7 @@
 			if r.otherFaultOverlaps(i, a, check.EndpointPlace(arrivals[a.ID])) {
 				continue
 			}
-			r.report.Count("stop_breaks_nothing", a.Status == http.StatusOK && a.Complete, "%s on %s begun %s after the stop of %s, ended %s after it, got %d",
+			r.report.Count("stop_breaks_nothing", a.Answered(), "%s on %s begun %s after the stop of %s, ended %s after it, got %d",
 				a.ID, a.Route, a.Begun.Sub(f.From), a.Box, a.Ended.Sub(f.From), a.Status)
 		}
 	}
@@ -45,7 +45,7 @@
 	return slices.ContainsFunc(r.record.Faults, func(f check.Fault) bool {
 		same := f.Kind == r.record.Faults[index].Kind && f.From.Equal(r.record.Faults[index].From)
 		affects := f.Machine || f.Place == place || slices.Contains(f.Boxes, a.Box) || slices.Contains(f.Unlinked, a.Box)
-		return !same && affects && f.From.Before(a.Ended) && f.To.Add(check.EffectTime).After(a.Begun)
+		return !same && affects && f.Overlaps(a.Begun, a.Ended)
 	})
 }
 
@@ -68,6 +68,12 @@
 	minGoodput = 0.7
 )
 
+// countsForGoodput reports whether a request should be answered as far as its caller, quota and key
+// are concerned.
+func countsForGoodput(a check.Answer) bool {
+	return !a.CallerLeft && a.Key != limitedKey && a.Poison == "" && a.Status != http.StatusUnauthorized
+}
+
 // checkGoodput checks the goodput at the other boxes while one is killed, paused or cut off.
 func (r *run) checkGoodput() {
 	for i, f := range r.record.Faults {
@@ -79,12 +85,11 @@
 		}
 		g := Goodput{Kind: f.Kind, Box: f.Boxes[0]}
 		for _, a := range r.record.Answers {
-			included := a.Begun.After(f.From) && a.Begun.Before(f.To) && a.Box != g.Box && !a.CallerLeft && a.Key != limitedKey && a.Poison == ""
-			if !included || a.Status == http.StatusUnauthorized {
+			if a.Box == g.Box || !countsForGoodput(a) || !a.Begun.After(f.From) || !a.Begun.Before(f.To) {
 				continue
 			}
 			g.Asked++
-			if a.Status == http.StatusOK && a.Complete {
+			if a.Answered() {
 				g.Success++
 			}
 		}
@@ -102,7 +107,7 @@
 	f := r.record.Faults[index]
 	for i, o := range r.record.Faults {
 		affects := len(o.Boxes) > 0 || o.Place != "" || o.Store || len(o.TurnedAway) > 0 || len(o.Unlinked) > 0 || o.Machine
-		if i != index && affects && o.From.Before(f.To) && o.To.Add(check.EffectTime).After(f.From) {
+		if i != index && affects && o.Overlaps(f.From, f.To) {
 			return true
 		}
 	}
--- a/bench/soak/load.go
+++ b/bench/soak/load.go
@@ -143,7 +143,7 @@
 	body, err := io.ReadAll(resp.Body)
 	a.Complete = err == nil
 	a.RefusedAsPoison = strings.Contains(string(body), string(lifecycle.ReasonPoison))
-	if a.Status == http.StatusOK && a.Complete {
+	if a.Answered() {
 		a.Mismatch = mismatch(a, standin.Signer(resp.Header), string(body))
 	}
 }
--- a/bench/soak/unlinked.go
+++ b/bench/soak/unlinked.go
@@ -4,7 +4,6 @@
 package soak
 
 import (
-	"net/http"
 	"slices"
 	"time"
 
@@ -33,7 +32,7 @@
 			continue
 		}
 		r.report.Count("served_without_links", without.ratio() >= minServedRatio*with.ratio(), "%v from %s to %s: %d of %d, the others %d of %d",
-			f.Unlinked, from.Format(clockFormat), f.To.Format(clockFormat), without.answered, without.asked, with.answered, with.asked)
+			f.Unlinked, from.Format(check.TimeFormat), f.To.Format(check.TimeFormat), without.answered, without.asked, with.answered, with.asked)
 		if !r.overlapsOtherFault(i) {
 			r.report.Count("others_served_as_before", with.ratio() >= minGoodput, "while %v have lost their links: %d of %d",
 				f.Unlinked, with.answered, with.asked)
@@ -41,17 +40,12 @@
 	}
 }
 
-const clockFormat = "15:04:05.000"
-
 // sharesOf counts the requests at boxes without and with links from a time to the end of the fault
 // at an index. Requests at boxes that another fault affects are left out.
 func (r *run) sharesOf(index int, from time.Time) (without, with share) {
 	f := r.record.Faults[index]
 	for _, a := range r.record.Answers {
-		if a.Begun.Before(from) || a.Begun.After(f.To) || a.CallerLeft || a.Key == limitedKey || a.Poison != "" || a.Status == http.StatusUnauthorized {
-			continue
-		}
-		if r.boxDisturbed(index, a) {
+		if a.Begun.Before(from) || a.Begun.After(f.To) || !countsForGoodput(a) || r.boxDisturbed(index, a) {
 			continue
 		}
 		s := &with
@@ -59,7 +53,7 @@
 			s = &without
 		}
 		s.asked++
-		if a.Status == http.StatusOK && a.Complete {
+		if a.Answered() {
 			s.answered++
 		}
 	}
@@ -70,8 +64,7 @@
 // while its request was open.
 func (r *run) boxDisturbed(index int, a check.Answer) bool {
 	for i, o := range r.record.Faults {
-		if i != index && o.From.Before(a.Ended) && o.To.Add(check.EffectTime).After(a.Begun) &&
-			(slices.Contains(o.Boxes, a.Box) || slices.Contains(o.Unlinked, a.Box)) {
+		if i != index && o.Overlaps(a.Begun, a.Ended) && (slices.Contains(o.Boxes, a.Box) || slices.Contains(o.Unlinked, a.Box)) {
 			return true
 		}
 	}
--- a/bench/soak/watch.go
+++ b/bench/soak/watch.go
@@ -162,11 +162,10 @@
 		}
 	}
 	from := last.Add(recovery)
-	served := func(a check.Answer) bool { return a.Status == http.StatusOK && a.Complete }
 	for _, a := range r.record.Answers {
 		if a.Begun.Before(from) || a.CallerLeft || a.Status == http.StatusUnauthorized || (a.Key == limitedKey && a.Status == http.StatusTooManyRequests) {
 			continue
 		}
-		r.report.Count("recovered", served(a) || r.record.Stalled(a.Begun, a.Ended), "%s on %s begun %s after the last fault got %d", a.ID, a.Route, a.Begun.Sub(last), a.Status)
+		r.report.Count("recovered", a.Answered() || r.record.Stalled(a.Begun, a.Ended), "%s on %s begun %s after the last fault got %d", a.ID, a.Route, a.Begun.Sub(last), a.Status)
 	}
 }
