--- a/tests/routed/unreached_test.go
+++ b/tests/routed/unreached_test.go
@@ -21,13 +21,12 @@
 	"runridge.example/runridge/transport/reach"
 )
 
-// linkState is the state of the links of one box to all endpoints.
+// linkState is the state of the links of one box to all endpoints; the zero value means that they are up.
 type linkState uint8
 
 const (
-	linksUp linkState = iota
 	// linksHang: nothing that is sent arrives, and new connections get no answer.
-	linksHang
+	linksHang linkState = iota + 1
 	// linksReset: open connections are reset and new ones refused.
 	linksReset
 	// linksRefuse: open connections live on, new ones are refused.
@@ -41,26 +40,20 @@
 type endpointLinks struct {
 	mutex sync.Mutex
 	state linkState
-	conns map[*linkConn]struct{}
-	// only, if set, is the address that the state concerns; the other links are up.
-	only string
+	conns []*linkConn
 }
 
 // linkConn is a connection over endpointLinks.
 type linkConn struct {
 	net.Conn
-	links   *endpointLinks
-	address string
-	reset   bool
+	links *endpointLinks
+	reset bool
 }
 
-// stateOf returns the state of the link to an address.
-func (l *endpointLinks) stateOf(address string) linkState {
+// current returns the state of the links.
+func (l *endpointLinks) current() linkState {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if l.only != "" && l.only != address {
-		return linksUp
-	}
 	return l.state
 }
 
@@ -72,17 +65,15 @@
 	if state != linksReset {
 		return
 	}
-	for c := range l.conns {
-		if l.only == "" || l.only == c.address {
-			c.reset = true
-			_ = c.Close()
-		}
+	for _, c := range l.conns {
+		c.reset = true
+		_ = c.Close()
 	}
 }
 
 // dial is the reach.Dial of the box.
 func (l *endpointLinks) dial(ctx context.Context, address string) (net.Conn, error) {
-	switch l.stateOf(address) {
+	switch l.current() {
 	case linksHang:
 		select {
 		case <-ctx.Done():
@@ -99,11 +90,8 @@
 	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	c := &linkConn{Conn: raw, links: l, address: address}
-	if l.conns == nil {
-		l.conns = make(map[*linkConn]struct{})
-	}
-	l.conns[c] = struct{}{}
+	c := &linkConn{Conn: raw, links: l}
+	l.conns = append(l.conns, c)
 	return c, nil
 }
 
@@ -115,7 +103,7 @@
 
 // Write writes to the connection; over links that hang nothing arrives.
 func (c *linkConn) Write(p []byte) (int, error) {
-	if c.links.stateOf(c.address) == linksHang {
+	if c.links.current() == linksHang {
 		return len(p), nil
 	}
 	n, err := c.Conn.Write(p)
