Paths: one dial, blame in one place, a look-up per ask that is as long as what is unreached

Read over once more. What was written twice: dialDirect beside dial, which also no longer recorded the round trip of calls that go directly only; the prober of a box; the latest of two times in exchanges. Each ask went through all known paths to find those that nobody reaches, now through these alone. A tunnel is counted where it is served.

make test on, before this: green, 63 packages. After: tests of routed, transport, coordination, box, bench, cmd and mutants green under the race detector (30 packages), linter clean, seven deliberate faults of the files touched found.

--- a/box/probe.go
+++ b/box/probe.go
@@ -9,6 +9,9 @@
 	"runridge.example/runridge/transport/reach"
 )
 
+// prober returns what checks from this box alone whether an endpoint listens.
+func (b *Box) prober() reach.Prober { return reach.Prober{Dial: b.options.DialEndpoint} }
+
 // endpointProber probes endpoints that may have ended.
 type endpointProber struct{ b *Box }
 
@@ -20,5 +23,5 @@
 			return p.b.routed.endpoints.ListensConfirmed(ctx, e)
 		}
 	}
-	return reach.Prober{Dial: p.b.options.DialEndpoint}.Listens(ctx, address)
+	return p.b.prober().Listens(ctx, address)
 }
--- a/box/tunnel.go
+++ b/box/tunnel.go
@@ -12,7 +12,6 @@
 	"runridge.example/runridge/state/member"
 	"runridge.example/runridge/state/path"
 	"runridge.example/runridge/transport/boxnet"
-	"runridge.example/runridge/transport/reach"
 	"runridge.example/runridge/transport/upstream"
 )
 
@@ -76,7 +75,7 @@
 	if err != nil {
 		return err
 	}
-	return reach.Prober{Dial: t.b.options.DialEndpoint}.Listens(ctx, e.Address)
+	return t.b.prober().Listens(ctx, e.Address)
 }
 
 // zoneOf returns the availability zone of an endpoint, empty if unknown.
--- a/coordination/adapter/broken.go
+++ b/coordination/adapter/broken.go
@@ -36,8 +36,8 @@
 	// BreakOwn means that this box ended the exchange, because the caller disconnected or
 	// the request's deadline had passed.
 	BreakOwn Break = "own"
-	// BreakPath means that this box ended the exchange because it no longer reaches the endpoint,
-	// which other boxes reach.
+	// BreakPath means that the exchange ended with this box's path to the endpoint, which other
+	// boxes reach.
 	BreakPath Break = "path"
 	// BreakOther is anything else, such as bytes that aren't a valid answer.
 	BreakOther Break = "other"
@@ -51,8 +51,8 @@
 // have answered.
 var ErrStale = errors.New("connection had already ended")
 
-// ErrPathLost marks an exchange that this box ended because it no longer reaches the endpoint, while
-// another box does.
+// ErrPathLost marks an exchange that ended with this box's path to the endpoint, which another box
+// reaches.
 var ErrPathLost = errors.New("path to the endpoint is lost")
 
 // UnreachedError is the error of a connection to an endpoint that could not be made, neither directly
--- a/coordination/relay/run.go
+++ b/coordination/relay/run.go
@@ -174,6 +174,15 @@
 	noEngine bool
 }
 
+// blamed returns the endpoint that the home is told to have failed; empty if the request was withheld
+// from it, or only this box's path to it failed.
+func (r result) blamed() string {
+	if isWithheld(r.reason) || r.known || r.broke == adapter.BreakPath {
+		return ""
+	}
+	return r.endpoint
+}
+
 type resultKind uint8
 
 const (
@@ -309,9 +318,7 @@
 	h.steps, h.stepTime = 0, 0
 	res := h.execute(ctx, a, plan)
 	report.Finished = res.kind == delivered
-	if !isWithheld(res.reason) && !res.known && res.broke != adapter.BreakPath {
-		report.Failed = res.endpoint
-	}
+	report.Failed = res.blamed()
 	report.Unreachable, report.OthersUnreached = res.unreached, res.others
 	report.Answered = res.answered
 	report.Full = res.full
--- a/tests/mutants/path.go
+++ b/tests/mutants/path.go
@@ -26,7 +26,7 @@
 		old: "return p.Region == n.Region || p.Region == n.BoxRegion", fault: "return p.Name != n.Box",
 	},
 	{
-		name: "path_that_hangs_is_waited_for", file: "transport/upstream/path.go", pkg: "./transport/upstream", args: only("TestConnectHangsOnLostPaths"),
+		name: "path_that_hangs_is_waited_for", file: "transport/upstream/race.go", pkg: "./transport/upstream", args: only("TestConnectHangsOnLostPaths"),
 		old: "		case <-headStart.C:\n			begin()\n", fault: "",
 	},
 	{
@@ -34,7 +34,7 @@
 		old: "b.routed.server.Delivering() + b.net.Tunnels()", fault: "b.routed.server.Delivering()",
 	},
 	{
-		name: "refusal_of_one_box_is_an_end", file: "transport/upstream/path.go", pkg: "./tests/routed", args: only("TestEndpointThatRefusesOneBoxCountsAsEnded"),
+		name: "refusal_of_one_box_is_an_end", file: "transport/upstream/check.go", pkg: "./tests/routed", args: only("TestEndpointThatRefusesOneBoxCountsAsEnded"),
 		old: "	if len(tries) == 0 {\n		return err\n", fault: "	if len(tries) >= 0 {\n		return err\n",
 	},
 }
--- a/transport/boxnet/tunnel.go
+++ b/transport/boxnet/tunnel.go
@@ -175,9 +175,14 @@
 // serveTunnel connects another box to an endpoint and passes bytes on until either end closes its
 // connection.
 func (n *Net) serveTunnel(c net.Conn, r *bufio.Reader, m *boxwire.Tunnel) {
-	far, outcome := n.connectTunnel(m)
-	defer closeConn(far)
+	open := n.tunnels.Add(1)
 	defer n.tunnels.Add(-1)
+	var far net.Conn
+	outcome := boxwire.TunnelUnavailable
+	if n.cfg.Endpoints != nil && !n.tunnelsClosed.Load() && open <= maxTunnels {
+		far, outcome = n.connectTunnel(m)
+		defer closeConn(far)
+	}
 	reply, err := boxwire.Append(nil, &boxwire.TunnelReply{Outcome: outcome}, boxwire.VersionCurrent)
 	if err != nil {
 		n.cfg.Log.WithError(err).Error("box_message_bad")
@@ -225,12 +230,8 @@
 	return len(p), nil
 }
 
-// connectTunnel connects to the endpoint of a tunnel. It counts the tunnel, whatever the outcome.
+// connectTunnel connects to the endpoint of a tunnel.
 func (n *Net) connectTunnel(m *boxwire.Tunnel) (net.Conn, boxwire.TunnelOutcome) {
-	open := n.tunnels.Add(1)
-	if n.cfg.Endpoints == nil || n.tunnelsClosed.Load() || open > maxTunnels {
-		return nil, boxwire.TunnelUnavailable
-	}
 	timeout := tunnelConnectTimeout
 	if m.Probe {
 		timeout = tunnelProbeTimeout
--- a/transport/upstream/exchange.go
+++ b/transport/upstream/exchange.go
@@ -42,7 +42,8 @@
 	writeErr error
 	// sent is how many bytes of the request were written.
 	sent int
-	ctx  context.Context
+	// ctx ends when the caller leaves or the request's time is over.
+	ctx context.Context
 	// stop keeps the end of the context from closing the connection. It returns false if
 	// the context has ended already.
 	stop func() bool
@@ -100,7 +101,7 @@
 func (x *exchange) fail(ctx context.Context, err error) error {
 	x.stop()
 	x.endWatch()
-	err = x.explain(ctx, err, explainTime)
+	err = x.explain(err, explainTime)
 	if x.conn.reused && time.Since(x.begun) < x.client.roundTrip(x.conn.key) {
 		// The failure arrived sooner than a round trip takes, so the endpoint had ended
 		// the connection before the request reached it. Without the mark, a failure of
@@ -272,7 +273,7 @@
 		b.x.stop()
 		b.x.conn.retire()
 		// The time of the error tells whether the caller's reading was the cause, so it is not delayed.
-		return n, b.x.explain(b.x.ctx, err, 0)
+		return n, b.x.explain(err, 0)
 	}
 	b.finish()
 	return n, io.EOF
--- a/transport/upstream/silence.go
+++ b/transport/upstream/silence.go
@@ -4,8 +4,8 @@
 package upstream
 
 import (
-	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"runridge.example/runridge/coordination/adapter"
@@ -35,23 +35,16 @@
 	delete(x.conn.pool.active, x)
 }
 
-// heard returns when the endpoint last sent anything over the exchange's connection, at least when
-// the exchange began.
-func (x *exchange) heard() time.Time {
-	if at := time.Unix(0, x.conn.heardAt.Load()); at.After(x.begun) {
-		return at
-	}
-	return x.begun
+// silent returns how long the endpoint has sent nothing since the exchange began, given when it last
+// sent anything, in nanoseconds since 1970.
+func (x *exchange) silent(heardAt *atomic.Int64) time.Duration {
+	return min(time.Since(x.begun), time.Since(time.Unix(0, heardAt.Load())))
 }
 
 // checkSilence checks the path if nothing came from the endpoint for silentAfter.
 func (x *exchange) checkSilence() {
-	heard := x.conn.pool.heard()
-	if x.begun.After(heard) {
-		heard = x.begun
-	}
 	c := x.client
-	next := silentAfter - time.Since(heard)
+	next := silentAfter - x.silent(&x.conn.pool.heardAt)
 	if next <= 0 {
 		next = silentAfter
 		c.checkPath(x.conn.key, x.call.Endpoint)
@@ -65,8 +58,8 @@
 
 // explain adds to the error of an interrupted exchange that the path was lost, not the endpoint. Unless
 // the caller interrupted it, the path is checked, and the check awaited for at most the given time.
-func (x *exchange) explain(ctx context.Context, err error, patience time.Duration) error {
-	if x.conn.via != "" || ctx.Err() != nil {
+func (x *exchange) explain(err error, patience time.Duration) error {
+	if x.conn.via != "" || x.ctx.Err() != nil {
 		return err
 	}
 	if !x.pathLost.Load() {
@@ -76,7 +69,7 @@
 			select {
 			case <-done:
 			case <-wait.C:
-			case <-ctx.Done():
+			case <-x.ctx.Done():
 			}
 		}
 	}
--- a/transport/upstream/upstream.go
+++ b/transport/upstream/upstream.go
@@ -72,6 +72,9 @@
 	// opened counts the connections opened, including failed dials.
 	opened uint64
 	paths  map[poolKey]*pathRecord
+	// unreached has the paths of endpoints that nobody reached a moment ago, and others that no
+	// request has asked about since: each ask looks them up.
+	unreached map[poolKey]struct{}
 	// failedPeers has until when each peer that could not connect this box is asked last.
 	failedPeers map[string]time.Time
 }
@@ -110,7 +113,8 @@
 		}
 	}
 	return &Client{
-		cfg: cfg, pools: make(map[poolKey]*pool), paths: make(map[poolKey]*pathRecord), failedPeers: make(map[string]time.Time),
+		cfg: cfg, pools: make(map[poolKey]*pool), paths: make(map[poolKey]*pathRecord),
+		unreached: make(map[poolKey]struct{}), failedPeers: make(map[string]time.Time),
 	}
 }
 
@@ -170,11 +174,8 @@
 		if k == nil && !ok {
 			return nil, adapter.ErrNotRun.Wrap(errShare, "endpoint %s", e.ID)
 		}
-		if k == nil && directOnly {
-			return c.dialDirect(ctx, key, e)
-		}
 		if k == nil {
-			return c.dial(ctx, key, e)
+			return c.dial(ctx, key, e, directOnly)
 		}
 		if k.wake() {
 			return k, nil
@@ -211,9 +212,16 @@
 }
 
 // dial opens the connection for which pop reserved capacity. Failures are adapter.ErrNotRun.
-func (c *Client) dial(ctx context.Context, key poolKey, e relay.Endpoint) (*conn, error) {
+func (c *Client) dial(ctx context.Context, key poolKey, e relay.Endpoint, directOnly bool) (*conn, error) {
 	begin := time.Now()
-	raw, via, err := c.connect(ctx, key, e)
+	var raw net.Conn
+	var via string
+	var err error
+	if directOnly {
+		raw, err = c.cfg.Dial(ctx, e.Address)
+	} else {
+		raw, via, err = c.connect(ctx, key, e)
+	}
 	if err != nil {
 		c.closed(key)
 		return nil, adapter.ErrNotRun.Wrap(err, "endpoint %s", e.ID)
@@ -224,16 +232,6 @@
 	return newConn(c, key, raw, via), nil
 }
 
-// dialDirect is dial without other boxes.
-func (c *Client) dialDirect(ctx context.Context, key poolKey, e relay.Endpoint) (*conn, error) {
-	raw, err := c.cfg.Dial(ctx, e.Address)
-	if err != nil {
-		c.closed(key)
-		return nil, adapter.ErrNotRun.Wrap(err, "endpoint %s", e.ID)
-	}
-	return newConn(c, key, raw, ""), nil
-}
-
 // recordRoundTrip records how long dialing took, if it is the shortest so far.
 func (c *Client) recordRoundTrip(key poolKey, elapsed time.Duration) {
 	c.mutex.Lock()
