Boxes of a region that all lost their links reach its endpoints through other regions

Cause: since only peers in the region of the box or of the endpoint were asked, for the sake of requests that are bound to regions. For endpoints of the region itself these are the boxes that were cut off with it. TestRegionWhoseBoxesLostTheirLinksFailsItsCallers failed on that code: 8 and 4 of 20 answered, 14 are needed.

Change: the restriction follows the request. A call names the regions that it is allowed in; peers elsewhere come last and only if it permits them, and "reached by nobody" is kept by those regions, so that a bound request speaks for bound ones alone. Two peers of a zone are asked before those of the next zone: with twenty boxes in a zone that is cut off, all six that were asked could be of that zone (TestZoneWithoutLinksIsAskedBeforeAllOthers failed before, by the same reasoning).

TestTunnelsCrossRegionsThatNeitherEndIsIn asserted what was wrong: that no request goes through a third region. TestBoundRequestsCrossRegionsThatNeitherEndIsIn replaces it: for bound requests the same assertion, also for peers in zones without a named region, and that others may. Two deliberate faults.

--- a/coordination/relay/budget_test.go
+++ b/coordination/relay/budget_test.go
@@ -14,6 +14,7 @@
 	"runridge.example/runridge/modules/log"
 	"runridge.example/runridge/state/directory"
 	"runridge.example/runridge/state/lifecycle"
+	"runridge.example/runridge/state/locality"
 	"runridge.example/runridge/state/table"
 )
 
@@ -31,7 +32,7 @@
 	return &Answer{Status: http.StatusOK, Signed: true, Body: http.NoBody}, nil
 }
 
-func (e *failingEndpoints) Unreached(string) []string { return nil }
+func (e *failingEndpoints) Unreached(string, locality.Allowed) []string { return nil }
 
 func (e *failingEndpoints) Free(context.Context, Endpoint, string) error { return nil }
 
--- a/coordination/relay/exchange.go
+++ b/coordination/relay/exchange.go
@@ -171,6 +171,7 @@
 		Remaining: time.Until(h.deadline),
 		LastEvent: h.lastEvent,
 		Account:   h.accountName(),
+		Allowed:   h.allowed,
 	}
 }
 
--- a/coordination/relay/poison_test.go
+++ b/coordination/relay/poison_test.go
@@ -17,6 +17,7 @@
 	"runridge.example/runridge/modules/ring"
 	"runridge.example/runridge/state/directory"
 	"runridge.example/runridge/state/lifecycle"
+	"runridge.example/runridge/state/locality"
 	"runridge.example/runridge/state/poison"
 	"runridge.example/runridge/state/schedule"
 	"runridge.example/runridge/state/table"
@@ -38,7 +39,7 @@
 	return nil, errBroken
 }
 
-func (c *countingEndpoints) Unreached(string) []string { return nil }
+func (c *countingEndpoints) Unreached(string, locality.Allowed) []string { return nil }
 
 func (c *countingEndpoints) Free(context.Context, Endpoint, string) error { return nil }
 
--- a/coordination/relay/run.go
+++ b/coordination/relay/run.go
@@ -361,7 +361,7 @@
 		Avoid:    slices.Clone(h.avoid),
 	}
 	a.Avoid = append(a.Avoid, h.forbiddenEndpoints()...)
-	a.Avoid = append(a.Avoid, h.relay.cfg.Endpoints.Unreached(h.service.Name)...)
+	a.Avoid = append(a.Avoid, h.relay.cfg.Endpoints.Unreached(h.service.Name, h.allowed)...)
 	a.Patience = h.maxRetryAfter()
 	a.Late = h.late
 	a.RemainingPatience = h.callerPatience()
--- a/coordination/relay/types.go
+++ b/coordination/relay/types.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"runridge.example/runridge/state/account"
+	"runridge.example/runridge/state/locality"
 	"runridge.example/runridge/state/pace"
 )
 
@@ -90,6 +91,9 @@
 	// Repeatable reports whether the request may be sent to another endpoint after this call has
 	// been interrupted.
 	Repeatable bool
+	// Allowed is the set of regions that the call may pass through besides those of this box and of
+	// the endpoint.
+	Allowed locality.Allowed
 	// DirectOnly keeps the call from going through another box.
 	DirectOnly bool
 	// Control marks a call that the box makes on its own behalf, without a caller's request or
@@ -143,8 +147,9 @@
 type Endpoints interface {
 	// Send sends a request once and returns when the header of the answer has been received.
 	Send(ctx context.Context, call Call) (*Answer, error)
-	// Unreached returns the endpoints of a service that a call would not reach now.
-	Unreached(service string) []string
+	// Unreached returns the endpoints of a service that a call which is allowed in the given regions
+	// would not reach now.
+	Unreached(service string, allowed locality.Allowed) []string
 	// Free releases a prefill result that an engine keeps.
 	Free(ctx context.Context, e Endpoint, handle string) error
 }
--- a/coordination/relay/where.go
+++ b/coordination/relay/where.go
@@ -80,7 +80,7 @@
 // left out.
 func (h *handler) placeWithoutHome() (plan lifecycle.Plan, withheld string) {
 	var eligible []string
-	unreached := h.relay.cfg.Endpoints.Unreached(h.service.Name)
+	unreached := h.relay.cfg.Endpoints.Unreached(h.service.Name, h.allowed)
 	for _, w := range h.relay.cfg.Directory.Directory().Statuses(h.service.Name) {
 		reason, ok := h.checkEligible(w)
 		switch {
--- a/state/locality/locality.go
+++ b/state/locality/locality.go
@@ -8,6 +8,7 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 )
 
 // Distance is how far two availability zones are from each other.
@@ -124,3 +125,11 @@
 
 // Bound reports whether the request is restricted to certain regions.
 func (a Allowed) Bound() bool { return a.bound }
+
+// Key identifies the set; the key of a set that allows all regions is empty.
+func (a Allowed) Key() string {
+	if !a.bound {
+		return ""
+	}
+	return "regions:" + strings.Join(slices.Sorted(slices.Values(a.regions)), ",")
+}
--- a/state/path/path.go
+++ b/state/path/path.go
@@ -5,7 +5,12 @@
 // it does not reach the endpoint itself. The current time is an argument.
 package path
 
-import "time"
+import (
+	"maps"
+	"time"
+
+	"runridge.example/runridge/state/locality"
+)
 
 const (
 	// probeInterval is the time between two tries of a direct path that is lost.
@@ -24,8 +29,9 @@
 	lostAt time.Time
 	// triedAt is when the direct path was last tried.
 	triedAt time.Time
-	// unreachedUntil is until when the endpoint counts as reached by nobody.
-	unreachedUntil time.Time
+	// unreachedUntil is until when the endpoint counts as reached by none of the boxes that may pass
+	// on a request, by the key of the regions that the request is allowed in.
+	unreachedUntil map[string]time.Time
 	// via is the box through which the endpoint was last reached.
 	via string
 }
@@ -33,9 +39,21 @@
 // Direct reports whether the direct path works, as far as known.
 func (s State) Direct() bool { return s.lostAt.IsZero() }
 
-// Unreached reports whether a try now would be in vain: no box that was asked reached the endpoint
-// a moment ago.
-func (s State) Unreached(now time.Time) bool { return now.Before(s.unreachedUntil) }
+// Unreached reports whether a try now would be in vain for a request that is allowed in the given
+// regions: no box that may pass it on reached the endpoint a moment ago.
+func (s State) Unreached(now time.Time, allowed locality.Allowed) bool {
+	return now.Before(s.unreachedUntil[locality.Allowed{}.Key()]) || now.Before(s.unreachedUntil[allowed.Key()])
+}
+
+// AnyUnreached reports whether a try now would be in vain for some requests.
+func (s State) AnyUnreached(now time.Time) bool {
+	for _, until := range s.unreachedUntil {
+		if now.Before(until) {
+			return true
+		}
+	}
+	return false
+}
 
 // ProbeDue reports whether a lost direct path should be tried again.
 func (s State) ProbeDue(now time.Time) bool {
@@ -75,15 +93,25 @@
 	return s
 }
 
-// WithVia returns the state after another box reached the endpoint.
-func (s State) WithVia(box string) State {
-	s.via, s.unreachedUntil = box, time.Time{}
+// WithVia returns the state after another box reached the endpoint for a request that is allowed in
+// the given regions.
+func (s State) WithVia(box string, allowed locality.Allowed) State {
+	s.via, s.unreachedUntil = box, maps.Clone(s.unreachedUntil)
+	delete(s.unreachedUntil, locality.Allowed{}.Key())
+	delete(s.unreachedUntil, allowed.Key())
 	return s
 }
 
 // WithUnreached returns the state after neither this box nor the others that it asked reached the
-// endpoint.
-func (s State) WithUnreached(now time.Time) State {
-	s.via, s.unreachedUntil = "", now.Add(unreachedTime)
+// endpoint for a request that is allowed in the given regions.
+func (s State) WithUnreached(now time.Time, allowed locality.Allowed) State {
+	if !allowed.Bound() {
+		s.via = ""
+	}
+	s.unreachedUntil = maps.Clone(s.unreachedUntil)
+	if s.unreachedUntil == nil {
+		s.unreachedUntil = make(map[string]time.Time)
+	}
+	s.unreachedUntil[allowed.Key()] = now.Add(unreachedTime)
 	return s
 }
--- a/state/path/path_test.go
+++ b/state/path/path_test.go
@@ -5,12 +5,17 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/smartystreets/goconvey/convey"
+
+	"runridge.example/runridge/state/locality"
 )
 
+var anywhere locality.Allowed
+
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
 func TestState(t *testing.T) {
@@ -18,7 +23,7 @@
 		s := State{}
 		convey.So(s.Direct(), convey.ShouldBeTrue)
 		convey.So(s.ProbeDue(start), convey.ShouldBeFalse)
-		s = s.WithLost(start).WithVia("b")
+		s = s.WithLost(start).WithVia("b", anywhere)
 		convey.So(s.Direct(), convey.ShouldBeFalse)
 		convey.So(s.Via(), convey.ShouldEqual, "b")
 		convey.So(s.ProbeDue(start.Add(probeInterval/2)), convey.ShouldBeFalse)
@@ -30,11 +35,11 @@
 		convey.So(s.WithReached(), convey.ShouldResemble, State{})
 	})
 	convey.Convey("An endpoint that nobody reached is left alone for a moment", t, func() {
-		s := State{}.WithLost(start).WithVia("b").WithUnreached(start)
-		convey.So(s.Unreached(start), convey.ShouldBeTrue)
+		s := State{}.WithLost(start).WithVia("b", anywhere).WithUnreached(start, anywhere)
+		convey.So(s.Unreached(start, anywhere), convey.ShouldBeTrue)
 		convey.So(s.Via(), convey.ShouldBeEmpty)
-		convey.So(s.Unreached(start.Add(unreachedTime)), convey.ShouldBeFalse)
-		convey.So(s.WithVia("c").Unreached(start), convey.ShouldBeFalse)
+		convey.So(s.Unreached(start.Add(unreachedTime), anywhere), convey.ShouldBeFalse)
+		convey.So(s.WithVia("c", anywhere).Unreached(start, anywhere), convey.ShouldBeFalse)
 	})
 }
 
@@ -52,15 +57,64 @@
 	})
 }
 
-func TestTunnelsCrossRegionsThatNeitherEndIsIn(t *testing.T) {
-	convey.Convey("Only peers in the region of the box or of the endpoint are asked", t, func() {
-		peers := []Peer{{Name: "home", Region: "r1"}, {Name: "third", Region: "r3"}, {Name: "there", Region: "r2"}}
-		var names []string
-		for _, p := range Order(Need{Endpoint: "e", Region: "r2", Box: "a", BoxRegion: "r1"}, peers) {
-			names = append(names, p.Name)
+func namesOf(peers []Peer) []string {
+	var out []string
+	for _, p := range peers {
+		out = append(out, p.Name)
+	}
+	return out
+}
+
+func TestBoundRequestsCrossRegionsThatNeitherEndIsIn(t *testing.T) {
+	peers := []Peer{
+		{Name: "home", Zone: "z1", Region: "r1"},
+		{Name: "third", Zone: "z3", Region: "r3"},
+		{Name: "there", Zone: "z2", Region: "r2"},
+		{Name: "unnamed", Zone: "z4"},
+	}
+	cases := map[string]struct {
+		allowed locality.Allowed
+		want    []string
+	}{
+		"a request that is bound to the endpoint's region": {allowed: locality.AllowedBy([]string{"r2"}), want: []string{"home", "there"}},
+		"a request that is bound to two regions":           {allowed: locality.AllowedBy([]string{"r2", "r3"}), want: []string{"home", "there", "third"}},
+		"a request that is not bound":                      {want: []string{"home", "there", "third", "unnamed"}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			convey.Convey("Only peers that "+name+" may pass through are asked, the near ones first", t, func() {
+				names := namesOf(Order(Need{Endpoint: "e", Zone: "z2", Region: "r2", Box: "a", BoxZone: "z1", BoxRegion: "r1", Allowed: c.allowed}, peers))
+				convey.So(slices.Sorted(slices.Values(names)), convey.ShouldResemble, c.want)
+				convey.So(names[:2], convey.ShouldContain, "home")
+				convey.So(names[:2], convey.ShouldContain, "there")
+			})
+		})
+	}
+}
+
+func TestZoneWithoutLinksIsAskedBeforeAllOthers(t *testing.T) {
+	convey.Convey("Peers of other zones and regions are asked although one zone has many", t, func() {
+		var peers []Peer
+		for i := range 20 {
+			peers = append(peers, Peer{Name: fmt.Sprintf("own-%02d", i), Zone: "z1", Region: "r1"})
 		}
-		convey.So(names, convey.ShouldHaveLength, 2)
-		convey.So(names, convey.ShouldNotContain, "third")
+		peers = append(peers, Peer{Name: "next", Zone: "z2", Region: "r1"}, Peer{Name: "far", Zone: "z3", Region: "r2"})
+		names := namesOf(Order(Need{Endpoint: "e", Zone: "z1", Region: "r1", Box: "a", BoxZone: "z1", BoxRegion: "r1"}, peers))
+		convey.So(names, convey.ShouldHaveLength, MaxPeers)
+		convey.So(names[zonePeers:zonePeers+2], convey.ShouldResemble, []string{"next", "far"})
+	})
+}
+
+func TestBoundRequestsMakeAnEndpointUnreachedForAll(t *testing.T) {
+	convey.Convey("An endpoint that no box reaches for a bound request is tried for others, and the other way round not", t, func() {
+		bound := locality.AllowedBy([]string{"r1"})
+		s := State{}.WithLost(start).WithVia("b", anywhere).WithUnreached(start, bound)
+		convey.So(s.Unreached(start, bound), convey.ShouldBeTrue)
+		convey.So(s.Unreached(start, anywhere), convey.ShouldBeFalse)
+		convey.So(s.Via(), convey.ShouldEqual, "b")
+		s = State{}.WithUnreached(start, anywhere)
+		convey.So(s.Unreached(start, bound), convey.ShouldBeTrue)
+		convey.So(s.WithVia("b", anywhere).Unreached(start, bound), convey.ShouldBeFalse)
 	})
 }
 
--- a/tests/mutants/path.go
+++ b/tests/mutants/path.go
@@ -22,8 +22,16 @@
 		old: "if r.Unreachable && (r.OthersUnreached > 0 || !e.observers.AnsweredElsewhere(now, box)) {", fault: "if r.Unreachable {",
 	},
 	{
-		name: "tunnels_through_any_region", file: "state/path/peer.go", pkg: "./state/path", args: only("TestTunnelsCrossRegionsThatNeitherEndIsIn"),
-		old: "return p.Region == n.Region || p.Region == n.BoxRegion", fault: "return p.Name != n.Box",
+		name: "tunnels_through_any_region", file: "state/path/peer.go", pkg: "./state/path", args: only("TestBoundRequestsCrossRegionsThatNeitherEndIsIn"),
+		old: "!n.near(p) && !n.Allowed.Permits(p.Region)", fault: "p.Name == n.Box",
+	},
+	{
+		name: "region_without_links_stays_alone", file: "state/path/peer.go", pkg: "./state/path", args: only("TestBoundRequestsCrossRegionsThatNeitherEndIsIn"),
+		old: "!n.near(p) && !n.Allowed.Permits(p.Region)", fault: "!n.near(p)",
+	},
+	{
+		name: "zone_without_links_is_asked_first", file: "state/path/peer.go", pkg: "./state/path", args: only("TestZoneWithoutLinksIsAskedBeforeAllOthers"),
+		old: "inZone[p.Zone] / zonePeers", fault: "0",
 	},
 	{
 		name: "path_that_hangs_is_waited_for", file: "transport/upstream/race.go", pkg: "./transport/upstream", args: only("TestConnectHangsOnLostPaths"),
--- a/tests/routed/unreached_test.go
+++ b/tests/routed/unreached_test.go
@@ -266,3 +266,38 @@
 		}
 	})
 }
+
+// Callers in a region whose boxes have all lost their links are served through boxes of another one.
+func TestRegionWhoseBoxesLostTheirLinksFailsItsCallers(t *testing.T) {
+	cases := map[string]linkState{"hang": linksHang, "are reset": linksReset}
+	for name, state := range cases {
+		t.Run(name, func(t *testing.T) {
+			convey.Convey("Callers in a region whose boxes' links "+name+" are served nearly as often as others", t, func() {
+				links := &endpointLinks{}
+				s := newSite(t, 0)
+				s.zones = map[string]string{"box-south-1": "zone-c", "box-south-2": "zone-c"}
+				s.dialEndpoint = map[string]reach.Dial{"box-south-1": links.dial, "box-south-2": links.dial}
+				for i, zone := range []string{"zone-a", "zone-a", "zone-c", "zone-c", "zone-c", "zone-c"} {
+					s.add(standin.EndpointConfig{ID: fmt.Sprintf("p%d", i), Service: plainService, Zone: zone})
+				}
+				north := s.start("box-north")
+				south := []*runningBox{s.start("box-south-1"), s.start("box-south-2")}
+				for _, b := range s.boxes {
+					s.eventually("the box is ready and knows the other boxes", func() bool { return b.Ready() && b.LiveBoxes() == len(s.boxes) })
+				}
+				links.set(state)
+				for begin := time.Now(); time.Since(begin) < lostLinksSettle; {
+					for _, b := range south {
+						s.answered(b, "/safe/x", 5)
+					}
+				}
+				other := s.answered(north, "/safe/x", lostLinksRequests)
+				convey.So(float64(other), convey.ShouldBeGreaterThanOrEqualTo, minServedRatio*lostLinksRequests)
+				for _, b := range south {
+					cut := s.answered(b, "/safe/x", lostLinksRequests)
+					convey.So(float64(cut), convey.ShouldBeGreaterThanOrEqualTo, minServedRatio*float64(other))
+				}
+			})
+		})
+	}
+}
--- a/transport/upstream/check.go
+++ b/transport/upstream/check.go
@@ -12,6 +12,7 @@
 
 	"runridge.example/runridge/coordination/adapter"
 	"runridge.example/runridge/coordination/relay"
+	"runridge.example/runridge/state/locality"
 	"runridge.example/runridge/state/path"
 	"runridge.example/runridge/transport/reach"
 )
@@ -66,7 +67,7 @@
 	if !reached {
 		return
 	}
-	c.noteLost(key, e, via, failed)
+	c.noteLost(key, e, via, locality.Allowed{}, failed)
 	if foundOf(failed) == adapter.BreakSilent {
 		c.dropSilent(key)
 	}
@@ -84,7 +85,7 @@
 // probes returns the questions to at most limit peers whether they reach an endpoint.
 func (c *Client) probes(e relay.Endpoint, limit int) []try {
 	var out []try
-	candidates := c.candidates(e, "")
+	candidates := c.candidates(e, locality.Allowed{}, "")
 	for _, p := range candidates[:min(len(candidates), limit)] {
 		out = append(out, try{via: p.Name, headStart: peerHeadStart, open: func(ctx context.Context) (net.Conn, error) {
 			return nil, c.cfg.Peers.ProbeThrough(ctx, p.Name, e.ID)
--- a/transport/upstream/connect.go
+++ b/transport/upstream/connect.go
@@ -11,6 +11,7 @@
 
 	"runridge.example/runridge/coordination/adapter"
 	"runridge.example/runridge/coordination/relay"
+	"runridge.example/runridge/state/locality"
 	"runridge.example/runridge/state/path"
 	"runridge.example/runridge/transport/boxnet"
 )
@@ -25,9 +26,9 @@
 }
 
 // throughPeers returns the ways to an endpoint through peers.
-func (c *Client) throughPeers(e relay.Endpoint, via string) []try {
+func (c *Client) throughPeers(e relay.Endpoint, allowed locality.Allowed, via string) []try {
 	var out []try
-	for _, p := range c.candidates(e, via) {
+	for _, p := range c.candidates(e, allowed, via) {
 		out = append(out, try{via: p.Name, headStart: peerHeadStart, open: func(ctx context.Context) (net.Conn, error) {
 			return c.cfg.Peers.OpenTunnel(ctx, p.Name, e.ID)
 		}})
@@ -36,20 +37,21 @@
 }
 
 // raceTo connects to an endpoint: directly first while that works, otherwise through peers first.
-func (c *Client) raceTo(ctx context.Context, s path.State, e relay.Endpoint) raced {
+func (c *Client) raceTo(ctx context.Context, s path.State, e relay.Endpoint, allowed locality.Allowed) raced {
 	if s.Direct() {
-		return race(ctx, []try{c.direct(e)}, func() []try { return c.throughPeers(e, "") })
+		return race(ctx, []try{c.direct(e)}, func() []try { return c.throughPeers(e, allowed, "") })
 	}
-	return race(ctx, append(c.throughPeers(e, s.Via()), c.direct(e)), nil)
+	return race(ctx, append(c.throughPeers(e, allowed, s.Via()), c.direct(e)), nil)
 }
 
-// connect opens a connection to an endpoint, directly or through another box, whose name it returns.
-// The error of a connection that could not be made is an adapter.UnreachedError.
-func (c *Client) connect(ctx context.Context, key poolKey, e relay.Endpoint) (raw net.Conn, via string, err error) {
+// connect opens a connection to an endpoint, directly or through another box, whose name it returns,
+// for a request that is allowed in the given regions. The error of a connection that could not be made
+// is an adapter.UnreachedError.
+func (c *Client) connect(ctx context.Context, key poolKey, e relay.Endpoint, allowed locality.Allowed) (raw net.Conn, via string, err error) {
 	c.mutex.Lock()
 	s := c.pathOf(key, e).state
 	c.mutex.Unlock()
-	if s.Unreached(time.Now()) {
+	if s.Unreached(time.Now(), allowed) {
 		return nil, "", &adapter.UnreachedError{Known: true}
 	}
 	if s.ProbeDue(time.Now()) {
@@ -57,7 +59,7 @@
 	}
 	bounded, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	r := c.raceTo(bounded, s, e)
+	r := c.raceTo(bounded, s, e, allowed)
 	c.notePeers(r)
 	switch {
 	case r.won && r.via == "":
@@ -66,9 +68,9 @@
 		return r.conn, "", nil
 	case r.won:
 		if s.Direct() {
-			c.noteLost(key, e, r.via, r.directError())
+			c.noteLost(key, e, r.via, allowed, r.directError())
 		} else {
-			c.noteVia(key, e, r.via)
+			c.noteVia(key, e, r.via, allowed)
 		}
 		c.countWay(e.Service, wayPeer)
 		return r.conn, r.via, nil
@@ -76,7 +78,7 @@
 		return nil, "", ctx.Err()
 	}
 	unreached := unreachedError(r)
-	c.noteUnreached(key, e, unreached)
+	c.noteUnreached(key, e, allowed, unreached)
 	return nil, "", unreached
 }
 
--- a/transport/upstream/path.go
+++ b/transport/upstream/path.go
@@ -12,6 +12,7 @@
 	"runridge.example/runridge/coordination/adapter"
 	"runridge.example/runridge/coordination/relay"
 	"runridge.example/runridge/modules/log"
+	"runridge.example/runridge/state/locality"
 	"runridge.example/runridge/state/path"
 )
 
@@ -107,8 +108,8 @@
 }
 
 // Unreached returns the endpoints of a service that neither this box nor the others that it asked
-// reached a moment ago.
-func (c *Client) Unreached(service string) []string {
+// reached a moment ago for a request that is allowed in the given regions.
+func (c *Client) Unreached(service string, allowed locality.Allowed) []string {
 	now := time.Now()
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -116,9 +117,9 @@
 	for key := range c.unreached {
 		p := c.paths[key]
 		switch {
-		case p == nil || !p.state.Unreached(now):
+		case p == nil || !p.state.AnyUnreached(now):
 			delete(c.unreached, key)
-		case p.endpoint.Service == service:
+		case p.endpoint.Service == service && p.state.Unreached(now, allowed):
 			out = append(out, key.id)
 		}
 	}
@@ -133,7 +134,7 @@
 	defer c.mutex.Unlock()
 	for _, p := range c.paths {
 		switch {
-		case p.state.Unreached(now):
+		case p.state.AnyUnreached(now):
 			unreached++
 		case p.state.Via() != "":
 			throughPeers++
@@ -142,8 +143,9 @@
 	return throughPeers, unreached
 }
 
-// candidates returns the peers to ask for an endpoint, the best first.
-func (c *Client) candidates(e relay.Endpoint, via string) []path.Peer {
+// candidates returns the peers to ask for an endpoint, the best first, for a request that is allowed in
+// the given regions.
+func (c *Client) candidates(e relay.Endpoint, allowed locality.Allowed, via string) []path.Peer {
 	if c.cfg.Peers == nil {
 		return nil
 	}
@@ -154,7 +156,9 @@
 		peers[i].Failed = now.Before(c.failedPeers[peers[i].Name])
 	}
 	c.mutex.Unlock()
-	need := path.Need{Endpoint: e.ID, Box: c.cfg.Box, BoxZone: c.cfg.Zone, BoxRegion: c.cfg.Regions.Of(c.cfg.Zone), Via: via}
+	need := path.Need{
+		Endpoint: e.ID, Box: c.cfg.Box, BoxZone: c.cfg.Zone, BoxRegion: c.cfg.Regions.Of(c.cfg.Zone), Allowed: allowed, Via: via,
+	}
 	if c.cfg.ZoneOf != nil {
 		need.Zone = c.cfg.ZoneOf(e.ID)
 	}
@@ -199,11 +203,11 @@
 }
 
 // noteVia records that another box reached an endpoint whose direct path was lost before.
-func (c *Client) noteVia(key poolKey, e relay.Endpoint, via string) {
+func (c *Client) noteVia(key poolKey, e relay.Endpoint, via string, allowed locality.Allowed) {
 	c.mutex.Lock()
 	p := c.pathOf(key, e)
 	was := p.state
-	p.state = p.state.WithVia(via)
+	p.state = p.state.WithVia(via, allowed)
 	c.mutex.Unlock()
 	if was.Via() == "" {
 		c.logLost(e, via, adapter.BreakNone)
@@ -220,11 +224,11 @@
 
 // noteLost records that the direct path to an endpoint failed while another box reached it. Then the
 // paths to other endpoints may be lost as well.
-func (c *Client) noteLost(key poolKey, e relay.Endpoint, via string, cause error) {
+func (c *Client) noteLost(key poolKey, e relay.Endpoint, via string, allowed locality.Allowed, cause error) {
 	c.mutex.Lock()
 	p := c.pathOf(key, e)
 	was := p.state
-	p.state = p.state.WithLost(time.Now()).WithVia(via)
+	p.state = p.state.WithLost(time.Now()).WithVia(via, allowed)
 	c.mutex.Unlock()
 	if !was.Direct() && was.Via() != "" {
 		return
@@ -242,14 +246,14 @@
 }
 
 // noteUnreached records that neither this box nor those that it asked reached an endpoint.
-func (c *Client) noteUnreached(key poolKey, e relay.Endpoint, err *adapter.UnreachedError) {
+func (c *Client) noteUnreached(key poolKey, e relay.Endpoint, allowed locality.Allowed, err *adapter.UnreachedError) {
 	now := time.Now()
 	c.mutex.Lock()
 	p := c.pathOf(key, e)
 	was := p.state
 	p.state = p.state.WithLost(now)
 	if err.Others > 0 {
-		p.state = p.state.WithUnreached(now)
+		p.state = p.state.WithUnreached(now, allowed)
 		c.unreached[key] = struct{}{}
 	}
 	c.mutex.Unlock()
--- a/transport/upstream/path_test.go
+++ b/transport/upstream/path_test.go
@@ -13,6 +13,7 @@
 
 	"runridge.example/runridge/coordination/adapter"
 	"runridge.example/runridge/coordination/relay"
+	"runridge.example/runridge/state/locality"
 	"runridge.example/runridge/state/path"
 	"runridge.example/runridge/transport/boxnet"
 )
@@ -93,7 +94,7 @@
 				e := relay.Endpoint{Service: "s", ID: "e", Address: "a"}
 				key := poolKey{address: "a", id: "e"}
 				begin := time.Now()
-				conn, via, err := client.connect(t.Context(), key, e)
+				conn, via, err := client.connect(t.Context(), key, e, locality.Allowed{})
 				took := time.Since(begin)
 				synctest.Wait()
 				if conn != nil {
@@ -109,7 +110,7 @@
 				if unreached == nil || unreached.Known || unreached.Others != c.others {
 					t.Fatalf("got %#v", err)
 				}
-				_, _, err = client.connect(t.Context(), key, e)
+				_, _, err = client.connect(t.Context(), key, e, locality.Allowed{})
 				if again := adapter.UnreachedOf(err); again.Known != (c.others > 0) {
 					t.Fatalf("the second time: %#v", again)
 				}
--- a/transport/upstream/upstream.go
+++ b/transport/upstream/upstream.go
@@ -142,7 +142,7 @@
 // Send sends a request once and returns when the head of its answer has arrived. Errors are
 // adapter.ErrNotRun or adapter.ErrMayHaveRun.
 func (c *Client) Send(ctx context.Context, call relay.Call) (*relay.Answer, error) {
-	k, err := c.take(ctx, call.Endpoint, call.DirectOnly)
+	k, err := c.take(ctx, call)
 	if err != nil {
 		return nil, err
 	}
@@ -165,9 +165,9 @@
 // errShare is returned when the box uses its whole share of connections to an endpoint.
 var errShare = errors.New("all connections to the endpoint are in use")
 
-// take returns a clean idle connection, or a new one if there is none. With directOnly that one isn't
-// made through another box.
-func (c *Client) take(ctx context.Context, e relay.Endpoint, directOnly bool) (*conn, error) {
+// take returns a clean idle connection for a call, or a new one if there is none.
+func (c *Client) take(ctx context.Context, call relay.Call) (*conn, error) {
+	e := call.Endpoint
 	key := poolKey{address: e.Address, id: e.ID}
 	for {
 		k, ok := c.pop(key, e.Service)
@@ -175,7 +175,7 @@
 			return nil, adapter.ErrNotRun.Wrap(errShare, "endpoint %s", e.ID)
 		}
 		if k == nil {
-			return c.dial(ctx, key, e, directOnly)
+			return c.dial(ctx, key, call)
 		}
 		if k.wake() {
 			return k, nil
@@ -212,15 +212,16 @@
 }
 
 // dial opens the connection for which pop reserved capacity. Failures are adapter.ErrNotRun.
-func (c *Client) dial(ctx context.Context, key poolKey, e relay.Endpoint, directOnly bool) (*conn, error) {
+func (c *Client) dial(ctx context.Context, key poolKey, call relay.Call) (*conn, error) {
+	e := call.Endpoint
 	begin := time.Now()
 	var raw net.Conn
 	var via string
 	var err error
-	if directOnly {
+	if call.DirectOnly {
 		raw, err = c.cfg.Dial(ctx, e.Address)
 	} else {
-		raw, via, err = c.connect(ctx, key, e)
+		raw, via, err = c.connect(ctx, key, e, call.Allowed)
 	}
 	if err != nil {
 		c.closed(key)
