A quota home's answer counts although the question has been repeated

Cause: three questions of 80 ms each; when the next one is asked, the answer to the one before is no longer waited for. A home that takes 100 ms each time, 40 of them on the way, has decided three times and is heard never.

Change: one channel for all questions of a request; whichever answer decides first counts. Number and bounds of the questions stay. TestLateAnswerOfTheHomeIsLost failed before ("after the question is repeated": unanswered instead of over); a home that is silent for all 240 ms is still given up. Deliberate fault late_answer_of_the_home_is_lost is found.

--- a/coordination/quota/admit.go
+++ b/coordination/quota/admit.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"runridge.example/runridge/modules/ring"
-	"runridge.example/runridge/modules/sleep"
 	"runridge.example/runridge/state/lifecycle"
 	"runridge.example/runridge/state/quota"
 )
@@ -115,31 +114,45 @@
 }
 
 // askHomes asks the account's home, or the second in rank while the home is silent, until
-// one of them decides or maxAskTime has passed.
+// one of them decides or maxAskTime has passed. A decision counts whichever question it answers.
 func (k *Keeper) askHomes(ctx context.Context, u Use, need quota.Need) Verdict {
-	v := Verdict{Outcome: Unanswered}
 	ctx, cancel := context.WithTimeout(ctx, maxAskTime)
 	defer cancel()
+	v := Verdict{Outcome: Unanswered}
+	answers := make(chan Verdict, maxAsks)
+	defer k.stopWaiting(u.ID)
 	for number := uint32(1); number <= maxAsks && ctx.Err() == nil; number++ {
 		v.Ask = lifecycle.AttemptID{Request: u.ID, Number: number}
 		v.From = k.choose(u.Account)
-		if v.From == "" {
-			sleep.For(ctx, askBackoff)
-			continue
+		patience := askBackoff
+		if v.From != "" {
+			patience = k.ask(v.From, Ask{ID: v.Ask, Account: u.Account, Need: need}, answers)
 		}
-		a, answered := k.ask(ctx, v.From, Ask{ID: v.Ask, Account: u.Account, Need: need})
-		switch {
-		case !answered:
-		case a.Outcome == Admitted || a.Outcome == Over:
-			v.Outcome, v.Decision = a.Outcome, a.Decision
-			return v
-		default:
-			sleep.For(ctx, askBackoff)
+		for answered := true; answered; patience = askBackoff {
+			var got Verdict
+			got, answered = next(ctx, answers, patience)
+			if got.Outcome == Admitted || got.Outcome == Over {
+				return got
+			}
 		}
 	}
 	return v
 }
 
+// next returns the next answer, or false if none comes in time.
+func next(ctx context.Context, answers <-chan Verdict, patience time.Duration) (Verdict, bool) {
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
+	select {
+	case v := <-answers:
+		return v, true
+	case <-timer.C:
+		return Verdict{}, false
+	case <-ctx.Done():
+		return Verdict{}, false
+	}
+}
+
 // choose returns the box to ask about an account: its home, or the second in rank while the
 // home is silent. It probes a silent home every probeInterval. It returns "" if no box is
 // known.
@@ -164,37 +177,34 @@
 	return ranked[1]
 }
 
-// ask asks one box and waits for its answer; false means that none came in time.
-func (k *Keeper) ask(ctx context.Context, to string, a Ask) (Answer, bool) {
+// ask sends a question to a box and returns how long to wait for the answer before the next one.
+func (k *Keeper) ask(to string, a Ask, answers chan<- Verdict) (patience time.Duration) {
 	if to == k.cfg.Self {
-		return k.decide(to, a), true
+		answers <- verdictOf(to, k.decide(to, a))
+		return askBackoff
 	}
-	answer := make(chan Answer, 1)
 	k.mutex.Lock()
-	k.waiting[a.ID] = answer
-	sent := k.cfg.Peers.SendAsk(to, a) == ring.Accepted
-	if _, asked := k.unanswered[to]; sent && !asked {
-		k.unanswered[to] = k.uptime()
+	defer k.mutex.Unlock()
+	k.waiting[a.ID] = answers
+	if k.cfg.Peers.SendAsk(to, a) != ring.Accepted {
+		return askBackoff
 	}
-	k.mutex.Unlock()
-	defer func() {
-		k.mutex.Lock()
-		delete(k.waiting, a.ID)
-		k.mutex.Unlock()
-	}()
-	patience := answerTimeout
-	if !sent {
-		patience = askBackoff
+	if _, asked := k.unanswered[to]; !asked {
+		k.unanswered[to] = k.uptime()
 	}
-	timer := time.NewTimer(patience)
-	defer timer.Stop()
-	select {
-	case got := <-answer:
-		return got, true
-	case <-timer.C:
-		return Answer{}, false
-	case <-ctx.Done():
-		return Answer{}, false
+	return answerTimeout
+}
+
+func verdictOf(from string, a Answer) Verdict {
+	return Verdict{Outcome: a.Outcome, From: from, Ask: a.ID, Decision: a.Decision}
+}
+
+// stopWaiting ends the wait for answers to the questions about a request.
+func (k *Keeper) stopWaiting(id lifecycle.RequestID) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	for number := uint32(1); number <= maxAsks; number++ {
+		delete(k.waiting, lifecycle.AttemptID{Request: id, Number: number})
 	}
 }
 
@@ -204,8 +214,8 @@
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	delete(k.unanswered, from)
-	if answer, open := k.waiting[a.ID]; open {
+	if answers, open := k.waiting[a.ID]; open {
 		delete(k.waiting, a.ID)
-		answer <- a
+		answers <- verdictOf(from, a)
 	}
 }
--- a/coordination/quota/fleet_test.go
+++ b/coordination/quota/fleet_test.go
@@ -36,6 +36,9 @@
 	// lag is the delay from a change of the network to the change of the views.
 	lag time.Duration
 
+	// messageTime is how long a message between boxes takes.
+	messageTime time.Duration
+
 	mutex sync.Mutex
 	boxes []*simBox
 	uses  []use
@@ -62,11 +65,11 @@
 
 const account = "desk"
 
-// messageTime is how long a message between boxes takes.
-const messageTime = time.Millisecond
+// usualMessageTime is how long a message between boxes usually takes.
+const usualMessageTime = time.Millisecond
 
 func newWorld(boxes int, limit table.Quota, bound quota.Bound, lag time.Duration) *simFleet {
-	w := &simFleet{bound: bound, limit: limit, lag: lag}
+	w := &simFleet{bound: bound, limit: limit, lag: lag, messageTime: usualMessageTime}
 	for i := range boxes {
 		w.boxes = append(w.boxes, &simBox{w: w, name: fmt.Sprintf("box-%d", i)})
 	}
@@ -130,9 +133,9 @@
 	return out
 }
 
-// send delivers a message after messageTime, unless the sender cannot reach the receiver.
+// send delivers a message after its time, unless the sender cannot reach the receiver.
 func (b *simBox) send(to string, deliver func(o *simBox, k *Keeper)) {
-	time.AfterFunc(messageTime, func() {
+	time.AfterFunc(b.w.messageTime, func() {
 		b.w.mutex.Lock()
 		var target *simBox
 		for _, o := range b.w.boxes {
@@ -428,6 +431,32 @@
 	})
 }
 
+// An answer of the home that takes longer than a question may is used, though the question was repeated.
+func TestLateAnswerOfTheHomeIsLost(t *testing.T) {
+	cases := map[string]struct {
+		takes time.Duration
+		want  Outcome
+	}{
+		"in time":                        {takes: answerTimeout / 4, want: Over},
+		"after the question is repeated": {takes: answerTimeout + 2*askBackoff, want: Over},
+		"after all questions":            {takes: maxAskTime, want: Unanswered},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			withFleet(t, 3, func(ctx context.Context, w *simFleet) {
+				w.messageTime = c.takes / 2
+				v := w.boxes[2].admit(ctx, 1, 100*w.limit.Burst)
+				if v.Outcome != c.want {
+					t.Errorf("outcome %v, want %v", v.Outcome, c.want)
+				}
+				if v.Outcome == Over && (v.From != w.boxes[0].name || v.Ask.Number != 1) {
+					t.Errorf("decided by %q on question %d", v.From, v.Ask.Number)
+				}
+			})
+		})
+	}
+}
+
 // TestHalvesCutApart checks that two halves of a fleet that cannot reach each other for
 // longer than a window keep to the quota together, though both are asked for twice the
 // quota. The fullest window has 0.73 of what is allowed; if each half lent the whole quota,
--- a/coordination/quota/quota.go
+++ b/coordination/quota/quota.go
@@ -91,7 +91,7 @@
 	purses   map[string]quota.Purse
 	// unanswered is the uptime since which a box has not answered this one.
 	unanswered map[string]time.Duration
-	waiting    map[lifecycle.AttemptID]chan Answer
+	waiting    map[lifecycle.AttemptID]chan<- Verdict
 	counts     map[string]Counts
 }
 
@@ -123,7 +123,7 @@
 		buckets:    make(map[string]bucket),
 		purses:     make(map[string]quota.Purse),
 		unanswered: make(map[string]time.Duration),
-		waiting:    make(map[lifecycle.AttemptID]chan Answer),
+		waiting:    make(map[lifecycle.AttemptID]chan<- Verdict),
 		counts:     make(map[string]Counts),
 	}
 }
--- a/tests/mutants/accounts.go
+++ b/tests/mutants/accounts.go
@@ -87,6 +87,10 @@
 		name: "second_does_not_find_out", file: quotaHomeFile, pkg: quotaTests, args: only("TestSecondInRank"),
 		old: "if k.silent(ranked[0]) {", fault: "if true {",
 	},
+	{
+		name: "late_answer_of_the_home_is_lost", file: "coordination/quota/admit.go", pkg: quotaTests, args: only("TestLateAnswerOfTheHomeIsLost"),
+		old: "		v.From = k.choose(u.Account)\n", fault: "		v.From = k.choose(u.Account)\n		k.stopWaiting(u.ID)\n",
+	},
 	{
 		name: "pause_not_noticed", file: "coordination/quota/quota.go", pkg: quotaTests, args: only("TestPausedHome"),
 		old: "k.drop(name, \"own_pause\")", fault: "_ = name",
