Boxes find the few peers that still reach an endpoint

Callers of boxes that lost their links together with most other boxes waited for paths on which nothing came, up to the request's timeout.

Cause: a silent path is given up only if a peer reaches the endpoint, and three peers were asked, ordered by a hash of the endpoint. They were remembered as failed for 1 s, the next check came after 1.5 s, and asked the same three.

Change: a check asks as many peers as a connection does (six); peers that failed come last, the one that failed longest ago first, for 5 s or until they connect this box, so that checks and connections go round all of them, and a peer that works for one endpoint is the first for the next. Deliberate faults: lost_peers_are_forgotten_at_once, same_lost_peers_are_asked_again (TestSameLostPeersAreAskedAgain).

--- a/state/path/path_test.go
+++ b/state/path/path_test.go
@@ -105,6 +105,29 @@
 	})
 }
 
+func TestSameLostPeersAreAskedAgain(t *testing.T) {
+	convey.Convey("Repeated calls reach all peers although each call fails", t, func() {
+		const count = 4*MaxPeers - 1
+		peers := make([]Peer, count)
+		for i := range peers {
+			peers[i] = Peer{Name: fmt.Sprintf("b%02d", i), Zone: fmt.Sprintf("z%d", i%3)}
+		}
+		asked := make(map[string]bool)
+		for call := range 2 * count / MaxPeers {
+			for _, p := range Order(Need{Endpoint: "e", Zone: "z1", Box: "a", BoxZone: "z0"}, peers) {
+				asked[p.Name] = true
+				i := slices.IndexFunc(peers, func(o Peer) bool { return o.Name == p.Name })
+				peers[i].FailedAt = start.Add(time.Duration(call) * time.Second)
+			}
+			if call == count/MaxPeers {
+				convey.So(asked, convey.ShouldHaveLength, count)
+				clear(asked)
+			}
+		}
+		convey.So(len(asked), convey.ShouldBeGreaterThanOrEqualTo, 2*MaxPeers)
+	})
+}
+
 func TestBoundRequestsMakeAnEndpointUnreachedForAll(t *testing.T) {
 	convey.Convey("An endpoint that no box reaches for a bound request is tried for others, and the other way round not", t, func() {
 		bound := locality.AllowedBy([]string{"r1"})
@@ -121,7 +144,7 @@
 func ExampleOrder() {
 	peers := []Peer{
 		{Name: "far", Zone: "z3"},
-		{Name: "failed", Zone: "z1", Failed: true},
+		{Name: "failed", Zone: "z1", FailedAt: start},
 		{Name: "last", Zone: "z3"},
 		{Name: "near", Zone: "z1"},
 	}
--- a/state/path/peer.go
+++ b/state/path/peer.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -15,8 +16,9 @@
 // Peer is another box that may reach an endpoint.
 type Peer struct {
 	Name, Zone, Region string
-	// Failed reports that it recently could not connect this box to an endpoint.
-	Failed bool
+	// FailedAt is when it last could not connect this box to an endpoint; zero if that was long ago
+	// or it has connected this box since.
+	FailedAt time.Time
 }
 
 // Need is what a box needs a peer for: the endpoint with its zone and region, and the same of the box
@@ -43,20 +45,15 @@
 const (
 	crossZoneCost   = 1
 	crossRegionCost = 2
-	failedCost      = 3
 )
 
 // near reports whether a peer is in the region of the box or of the endpoint.
 func (n Need) near(p Peer) bool { return p.Region == n.Region || p.Region == n.BoxRegion }
 
-// cost ranks a peer: the one that last reached the endpoint comes first, then those in the zone of
-// the box or of the endpoint, so that bytes cross zones at most once.
+// cost ranks a peer: those in the zone of the box or of the endpoint come first, so that bytes cross
+// zones at most once.
 func (n Need) cost(p Peer) int {
 	switch {
-	case p.Name == n.Via:
-		return -1
-	case p.Failed:
-		return failedCost
 	case !n.near(p):
 		return crossRegionCost
 	case p.Zone != n.Zone && p.Zone != n.BoxZone:
@@ -68,18 +65,26 @@
 
 // Order returns the peers to ask, the best first, at most MaxPeers. Peers of the same rank come in
 // an order that differs by box and endpoint, so that the load spreads over them. Those of one zone
-// are followed by the ones of other zones after zonePeers. Peers that the request may not pass through
-// are left out.
+// are followed by the ones of other zones after zonePeers. Peers that have failed come last, so that
+// repeated calls reach all of them: the one whose failure is the longest ago first. Peers that the
+// request may not pass through are left out.
 func Order(n Need, peers []Peer) []Peer {
 	score := func(p Peer) uint64 { return xxhash.Sum64String(n.Box + "\x00" + n.Endpoint + "\x00" + p.Name) }
 	out := slices.DeleteFunc(slices.Clone(peers), func(p Peer) bool { return !n.near(p) && !n.Allowed.Permits(p.Region) })
 	slices.SortFunc(out, func(a, b Peer) int {
-		return cmp.Or(cmp.Compare(n.cost(a), n.cost(b)), cmp.Compare(score(a), score(b)))
+		return cmp.Or(a.FailedAt.Compare(b.FailedAt), cmp.Compare(n.cost(a), n.cost(b)), cmp.Compare(score(a), score(b)))
 	})
 	inZone, turn := make(map[string]int), make(map[string]int, len(out))
 	for _, p := range out {
-		turn[p.Name] = inZone[p.Zone] / zonePeers
-		inZone[p.Zone]++
+		switch {
+		case p.Name == n.Via:
+			turn[p.Name] = -1
+		case !p.FailedAt.IsZero():
+			turn[p.Name] = len(out)
+		default:
+			turn[p.Name] = inZone[p.Zone] / zonePeers
+			inZone[p.Zone]++
+		}
 	}
 	slices.SortStableFunc(out, func(a, b Peer) int { return cmp.Compare(turn[a.Name], turn[b.Name]) })
 	return out[:min(len(out), MaxPeers)]
--- a/tests/mutants/path.go
+++ b/tests/mutants/path.go
@@ -33,6 +33,14 @@
 		name: "zone_without_links_is_asked_first", file: "state/path/peer.go", pkg: "./state/path", args: only("TestZoneWithoutLinksIsAskedBeforeAllOthers"),
 		old: "inZone[p.Zone] / zonePeers", fault: "0",
 	},
+	{
+		name: "lost_peers_are_forgotten_at_once", file: "transport/upstream/path.go", pkg: "./transport/upstream", args: only("TestLostPathsHangWhileFewPeersReachTheEndpoint"),
+		old: "failedPeerTime = 5 * time.Second", fault: "failedPeerTime = time.Second",
+	},
+	{
+		name: "same_lost_peers_are_asked_again", file: "state/path/peer.go", pkg: "./state/path", args: only("TestSameLostPeersAreAskedAgain"),
+		old: "a.FailedAt.Compare(b.FailedAt), ", fault: "",
+	},
 	{
 		name: "path_that_hangs_is_waited_for", file: "transport/upstream/race.go", pkg: "./transport/upstream", args: only("TestConnectHangsOnLostPaths"),
 		old: "		case <-headStart.C:\n			begin()\n", fault: "",
--- a/transport/upstream/check.go
+++ b/transport/upstream/check.go
@@ -13,7 +13,6 @@
 	"runridge.example/runridge/coordination/adapter"
 	"runridge.example/runridge/coordination/relay"
 	"runridge.example/runridge/state/locality"
-	"runridge.example/runridge/state/path"
 	"runridge.example/runridge/transport/reach"
 )
 
@@ -77,16 +76,15 @@
 func (c *Client) reachedThrough(e relay.Endpoint) (via string, reached bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), peersTimeout)
 	defer cancel()
-	r := race(ctx, c.probes(e, checkPeers), nil)
+	r := race(ctx, c.probes(e), nil)
 	c.notePeers(r)
 	return r.via, r.won
 }
 
-// probes returns the questions to at most limit peers whether they reach an endpoint.
-func (c *Client) probes(e relay.Endpoint, limit int) []try {
+// probes returns the questions to peers whether they reach an endpoint.
+func (c *Client) probes(e relay.Endpoint) []try {
 	var out []try
-	candidates := c.candidates(e, locality.Allowed{}, "")
-	for _, p := range candidates[:min(len(candidates), limit)] {
+	for _, p := range c.candidates(e, locality.Allowed{}, "") {
 		out = append(out, try{via: p.Name, headStart: peerHeadStart, open: func(ctx context.Context) (net.Conn, error) {
 			return nil, c.cfg.Peers.ProbeThrough(ctx, p.Name, e.ID)
 		}})
@@ -143,7 +141,7 @@
 	if !errors.Is(err, syscall.ECONNREFUSED) {
 		return err
 	}
-	tries := c.probes(e, path.MaxPeers)
+	tries := c.probes(e)
 	if len(tries) == 0 {
 		return err
 	}
--- a/transport/upstream/path.go
+++ b/transport/upstream/path.go
@@ -44,8 +44,9 @@
 	// peerHeadStart the same for a peer before the next one.
 	directHeadStart = 150 * time.Millisecond
 	peerHeadStart   = 80 * time.Millisecond
-	// failedPeerTime is how long a peer that could not connect this box is asked after the others.
-	failedPeerTime = time.Second
+	// failedPeerTime is how long a peer that could not connect this box is asked after the others. It
+	// has to cover several checks of a path.
+	failedPeerTime = 5 * time.Second
 	// silentAfter is after how long without a byte from an endpoint the path to it is checked.
 	silentAfter = 600 * time.Millisecond
 	// lostCheckInterval and checkInterval are the shortest times between two checks of a path that
@@ -60,10 +61,8 @@
 	peersTimeout = time.Second
 	// explainTime bounds the wait for the check of a path after an interrupted exchange.
 	explainTime = 30 * time.Millisecond
-	// checkPeers is how many peers are asked whether they reach an endpoint, and maxChecks how many
-	// other paths are checked once one is found lost.
-	checkPeers = 3
-	maxChecks  = 32
+	// maxChecks is how many other paths are checked once one is found lost.
+	maxChecks = 32
 	// maxPaths is how many paths are kept before stale ones are forgotten.
 	maxPaths = 512
 )
@@ -153,7 +152,9 @@
 	now := time.Now()
 	c.mutex.Lock()
 	for i := range peers {
-		peers[i].Failed = now.Before(c.failedPeers[peers[i].Name])
+		if at := c.failedPeers[peers[i].Name]; now.Sub(at) < failedPeerTime {
+			peers[i].FailedAt = at
+		}
 	}
 	c.mutex.Unlock()
 	need := path.Need{
@@ -166,14 +167,15 @@
 	return path.Order(need, peers)
 }
 
-// notePeers records which peers could not connect this box.
+// notePeers records which peers could not connect this box, and which one could.
 func (c *Client) notePeers(r raced) {
-	until := time.Now().Add(failedPeerTime)
+	now := time.Now()
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	delete(c.failedPeers, r.via)
 	for _, f := range r.failed {
 		if f.via != "" {
-			c.failedPeers[f.via] = until
+			c.failedPeers[f.via] = now
 		}
 	}
 }
--- a/transport/upstream/path_test.go
+++ b/transport/upstream/path_test.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"testing"
 	"testing/synctest"
@@ -118,3 +119,27 @@
 		})
 	}
 }
+
+// A path that hangs is found lost although few of many peers reach the endpoint.
+func TestLostPathsHangWhileFewPeersReachTheEndpoint(t *testing.T) {
+	// endpoints differ in the order in which peers are asked.
+	const peers, endpoints, checks = 11, 20, 2
+	synctest.Test(t, func(t *testing.T) {
+		ways := fakePeers{"works": {}}
+		for i := range peers {
+			ways[fmt.Sprintf("lost-%02d", i)] = way{err: boxnet.ErrTunnelUnreached}
+		}
+		client := New(Config{Peers: ways, Dial: func(ctx context.Context, _ string) (net.Conn, error) { return way{hangs: true}.open(ctx) }})
+		for i := range endpoints {
+			e := relay.Endpoint{Service: "s", ID: fmt.Sprintf("e%02d", i), Address: "a"}
+			key := poolKey{address: e.Address, id: e.ID}
+			for range checks {
+				<-client.checkPath(key, e)
+				time.Sleep(checkInterval)
+			}
+			if !client.pathIsLost(key) {
+				t.Errorf("the path to %s is not known to be lost after %d checks", e.ID, checks)
+			}
+		}
+	})
+}
--- a/transport/upstream/upstream.go
+++ b/transport/upstream/upstream.go
@@ -75,7 +75,7 @@
 	// unreached has the paths of endpoints that nobody reached a moment ago, and others that no
 	// request has asked about since: each ask looks them up.
 	unreached map[poolKey]struct{}
-	// failedPeers has until when each peer that could not connect this box is asked last.
+	// failedPeers has when each peer last could not connect this box, if it has not done so since.
 	failedPeers map[string]time.Time
 }
 
