Soak: boxes that answer little are compared too; links that swallow requests are a known fault

Change: the boxes without links need 11 requests to be compared, the others 30 as before. A check of a path connects and sends nothing, so that what accepts connections in the endpoint's place hides the loss. Links whose handshakes fail, as with lost packets, are covered (case "hang"). checkServedWithoutLinks is the former body of TestBoxThatLostItsLinksToEndpointsFailsItsCallers, with the same assertions.

--- a/bench/soak/unlinked.go
+++ b/bench/soak/unlinked.go
@@ -15,6 +15,10 @@
 // links to endpoints must reach, from contactBound after they lost them.
 const minServedRatio = 2.0 / 3
 
+// minUnlinkedRequests is how many requests at boxes without links there have to be for them to be
+// compared. It is below minRequests, since callers who wait for their timeout send few.
+const minUnlinkedRequests = 11
+
 // share counts requests and those of them that were answered.
 type share struct{ asked, answered int }
 
@@ -28,7 +32,7 @@
 			continue
 		}
 		without, with := r.sharesOf(i, from)
-		if without.asked < minRequests || with.asked < minRequests {
+		if without.asked < minUnlinkedRequests || with.asked < minRequests {
 			continue
 		}
 		r.report.Count("served_without_links", without.ratio() >= minServedRatio*with.ratio(), "%v from %s to %s: %d of %d, the others %d of %d",
--- a/tests/routed/unreached_test.go
+++ b/tests/routed/unreached_test.go
@@ -31,6 +31,8 @@
 	linksReset
 	// linksRefuse: open connections live on, new ones are refused.
 	linksRefuse
+	// linksSwallow: new connections are accepted, as by a forwarder, but nothing that is sent arrives.
+	linksSwallow
 )
 
 // hangTimeout is after how long a dial over links that hang fails.
@@ -101,9 +103,9 @@
 	return n, c.explain(err)
 }
 
-// Write writes to the connection; over links that hang nothing arrives.
+// Write writes to the connection; over links that hang or swallow nothing arrives.
 func (c *linkConn) Write(p []byte) (int, error) {
-	if c.links.current() == linksHang {
+	if state := c.links.current(); state == linksHang || state == linksSwallow {
 		return len(p), nil
 	}
 	n, err := c.Conn.Write(p)
@@ -171,34 +173,48 @@
 	return ok
 }
 
+// checkServedWithoutLinks checks that callers of a box whose links are in the given state are served
+// nearly as often as those of another box.
+func checkServedWithoutLinks(t *testing.T, state linkState) {
+	t.Helper()
+	links := &endpointLinks{}
+	s := newSiteWithLinks(t, links)
+	paths := []string{"/safe/x", "/unsafe/x", "/stream/x", "/resumable/x"}
+	for _, path := range paths {
+		convey.So(s.answered(s.boxes[0], path, lostLinksRequests), convey.ShouldEqual, lostLinksRequests)
+	}
+	links.set(state)
+	for begin := time.Now(); time.Since(begin) < lostLinksSettle; {
+		for _, path := range paths {
+			s.answered(s.boxes[0], path, 5)
+		}
+	}
+	for _, path := range paths {
+		cut, other := s.answered(s.boxes[0], path, lostLinksRequests), s.answered(s.boxes[1], path, lostLinksRequests)
+		convey.So(float64(other), convey.ShouldBeGreaterThanOrEqualTo, minServedRatio*lostLinksRequests)
+		convey.So(float64(cut), convey.ShouldBeGreaterThanOrEqualTo, minServedRatio*float64(other))
+	}
+}
+
 // Callers of a box that reaches no endpoint are served nearly as often as those of other boxes.
 func TestBoxThatLostItsLinksToEndpointsFailsItsCallers(t *testing.T) {
 	cases := map[string]linkState{"hang": linksHang, "are reset": linksReset, "refuse new connections": linksRefuse}
 	for name, state := range cases {
 		t.Run(name, func(t *testing.T) {
 			convey.Convey("Callers of a box whose links "+name+" are served nearly as often as others", t, func() {
-				links := &endpointLinks{}
-				s := newSiteWithLinks(t, links)
-				paths := []string{"/safe/x", "/unsafe/x", "/stream/x", "/resumable/x"}
-				for _, path := range paths {
-					convey.So(s.answered(s.boxes[0], path, lostLinksRequests), convey.ShouldEqual, lostLinksRequests)
-				}
-				links.set(state)
-				for begin := time.Now(); time.Since(begin) < lostLinksSettle; {
-					for _, path := range paths {
-						s.answered(s.boxes[0], path, 5)
-					}
-				}
-				for _, path := range paths {
-					cut, other := s.answered(s.boxes[0], path, lostLinksRequests), s.answered(s.boxes[1], path, lostLinksRequests)
-					convey.So(float64(other), convey.ShouldBeGreaterThanOrEqualTo, minServedRatio*lostLinksRequests)
-					convey.So(float64(cut), convey.ShouldBeGreaterThanOrEqualTo, minServedRatio*float64(other))
-				}
+				checkServedWithoutLinks(t, state)
 			})
 		})
 	}
 }
 
+// Links that accept connections and pass nothing on are told from endpoints that are slow.
+func TestBoxWhoseLinksSwallowRequestsFailsItsCallers(t *testing.T) {
+	convey.Convey("Callers of a box whose links swallow requests are served nearly as often as others", t, func() {
+		checkServedWithoutLinks(t, linksSwallow)
+	})
+}
+
 // The lost links of one box take no endpoint out for the boxes that reach it.
 func TestEndpointThatOneBoxDoesNotReachIsEjectedForAll(t *testing.T) {
 	convey.Convey("An endpoint that refuses one box alone goes on serving the others", t, func() {
