A request waits for the decision on its quota as its target allows

Callers of a limited account in another region than its home got 503 (quota_home_silent) after 240 ms on routes whose target is 1 s.

Cause: 240 ms was the bound for all routes, for the sake of those with a target of 0.3 s.

Change: the time for all questions is half of the route's target, 240 ms at least and 1 s at most. Number of questions and the time after which the second in rank is asked stay, so that a home that has ended costs what it did; the answer to the last question is waited for until the time is over. The case "after all questions" is "after the time of an urgent request" now, 20 ms later, as time-out and answer met in one moment.

--- a/coordination/quota/admit.go
+++ b/coordination/quota/admit.go
@@ -23,11 +23,13 @@
 	askBackoff = 20 * time.Millisecond
 	// probeInterval is how often a silent home is probed.
 	probeInterval = 500 * time.Millisecond
-	// maxAskTime bounds the time of all questions for one request: one question without an
-	// answer, the same time for the second in rank to check the home, and its answer.
-	// Without this bound requests waited up to 0.5 s, where their target is 0.3 s.
-	maxAskTime = 2*answerTimeout + 4*askBackoff
-	// maxAsks bounds the messages for one request.
+	// minAskTime and maxAskTime bound the time of all questions for one request. The lower one
+	// suffices for one question without an answer, the same time for the second in rank to check
+	// the home, and its answer.
+	minAskTime = 2*answerTimeout + 4*askBackoff
+	maxAskTime = time.Second
+	// maxAsks bounds the messages for one request. The answer to the last one is waited for until
+	// the time is over.
 	maxAsks = 8
 	// maxPurses is the number of purses above which idle ones are dropped.
 	maxPurses = 256
@@ -41,6 +43,8 @@
 	Cost float64
 	// Wait and Patience are as in quota.Need.
 	Wait, Patience time.Duration
+	// AskTime is how long the request may wait for a decision, within minAskTime and maxAskTime.
+	AskTime time.Duration
 }
 
 // Verdict is the decision on a Use.
@@ -114,9 +118,9 @@
 }
 
 // askHomes asks the account's home, or the second in rank while the home is silent, until
-// one of them decides or maxAskTime has passed. A decision counts whichever question it answers.
+// one of them decides or the request's time for it has passed. A decision counts whichever question it answers.
 func (k *Keeper) askHomes(ctx context.Context, u Use, need quota.Need) Verdict {
-	ctx, cancel := context.WithTimeout(ctx, maxAskTime)
+	ctx, cancel := context.WithTimeout(ctx, min(max(u.AskTime, minAskTime), maxAskTime))
 	defer cancel()
 	v := Verdict{Outcome: Unanswered}
 	answers := make(chan Verdict, maxAsks)
@@ -128,12 +132,18 @@
 		if v.From != "" {
 			patience = k.ask(v.From, Ask{ID: v.Ask, Account: u.Account, Need: need}, answers)
 		}
-		for answered := true; answered; patience = askBackoff {
+		if number == maxAsks {
+			patience = maxAskTime
+		}
+		for answered := true; answered; {
 			var got Verdict
 			got, answered = next(ctx, answers, patience)
 			if got.Outcome == Admitted || got.Outcome == Over {
 				return got
 			}
+			if number < maxAsks {
+				patience = askBackoff
+			}
 		}
 	}
 	return v
--- a/coordination/quota/fleet_test.go
+++ b/coordination/quota/fleet_test.go
@@ -434,18 +434,24 @@
 // An answer of the home that takes longer than a question may is used, though the question was repeated.
 func TestLateAnswerOfTheHomeIsLost(t *testing.T) {
 	cases := map[string]struct {
-		takes time.Duration
-		want  Outcome
+		takes, askTime time.Duration
+		want           Outcome
 	}{
-		"in time":                        {takes: answerTimeout / 4, want: Over},
-		"after the question is repeated": {takes: answerTimeout + 2*askBackoff, want: Over},
-		"after all questions":            {takes: maxAskTime, want: Unanswered},
+		"in time":                                   {takes: answerTimeout / 4, want: Over},
+		"after the question is repeated":            {takes: answerTimeout + 2*askBackoff, want: Over},
+		"after the time of an urgent request":       {takes: minAskTime + askBackoff, want: Unanswered},
+		"in the time of a request that is patient":  {takes: minAskTime, askTime: 2 * minAskTime, want: Over},
+		"after the longest time of any request":     {takes: maxAskTime + askBackoff, askTime: time.Minute, want: Unanswered},
+		"just before the longest time of a request": {takes: maxAskTime - askBackoff, askTime: time.Minute, want: Over},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			withFleet(t, 3, func(ctx context.Context, w *simFleet) {
 				w.messageTime = c.takes / 2
-				v := w.boxes[2].admit(ctx, 1, 100*w.limit.Burst)
+				v := w.boxes[2].keeper.Admit(ctx, Use{
+					ID: lifecycle.RequestID{Box: "box-2", Sequence: 1}, Account: account, Cost: 100 * w.limit.Burst,
+					Wait: 100 * time.Millisecond, Patience: time.Second, AskTime: c.askTime,
+				})
 				if v.Outcome != c.want {
 					t.Errorf("outcome %v, want %v", v.Outcome, c.want)
 				}
--- a/coordination/relay/account.go
+++ b/coordination/relay/account.go
@@ -34,6 +34,9 @@
 	// maxQuotaWaitShare is the part of its target that a request may wait for its quota. A
 	// request that would have to wait longer is refused with a retry delay instead.
 	maxQuotaWaitShare = 0.125
+	// quotaAskShare is the part of its target that a request may wait for the decision on its
+	// quota.
+	quotaAskShare = 0.5
 )
 
 // findAccount returns the account that holds the request's key by the table in force, and
@@ -117,6 +120,7 @@
 		Cost:     cost,
 		Wait:     time.Duration(maxQuotaWaitShare * float64(h.route.Target())),
 		Patience: h.maxRetryAfter(),
+		AskTime:  time.Duration(quotaAskShare * float64(h.route.Target())),
 	})
 	h.logQuota(cost, decision)
 	switch decision.Outcome {
