A caller whose body is too large gets the refusal, not a reset

Callers of the product's own interface who sent a body over the limit sometimes lost the 413: "write: connection reset by peer".

Cause: the box answered and closed the connection with the rest of the body unread, which resets it.

Change: the rest of such a body is read and discarded, up to 8 MB, before the answer.

--- a/transport/callerhttp/request.go
+++ b/transport/callerhttp/request.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"io"
 	"strconv"
 	"strings"
 	"time"
@@ -52,6 +53,9 @@
 	return data, nil
 }
 
+// maxDiscard is how many bytes of a body over the limit are read and discarded.
+const maxDiscard = 8 << 20
+
 // request reads and checks a completions request. With an error it returns the status of the
 // refusal.
 func (s *Server) request(ctx *fasthttp.RequestCtx, h *held.Hold, chat bool) (callerapi.Body, dispatch.Request, int, error) {
@@ -62,6 +66,8 @@
 	}
 	data, err := readBody(ctx, h, s.cfg.MaxBody)
 	if errors.Is(err, held.ErrTooLong) {
+		// Closing a connection with unread bytes resets it, and the caller may lose the answer.
+		_, _ = io.CopyN(io.Discard, ctx.RequestBodyStream(), maxDiscard)
 		return callerapi.Body{}, dispatch.Request{}, fasthttp.StatusRequestEntityTooLarge, invalid.FieldError{
 			Field: "body", Value: "too large", Allowed: fmt.Sprintf("at most %d bytes", s.cfg.MaxBody),
 		}
