Placements name the software version and the attempt that is resumed

A placement of a stream that goes on could not be told from any other in the logs: no line had the version of the engine, nor the attempt that a caller takes up. The entry's version now travels from the platform's list to all boxes (a field at the end of an entry, empty from older builds), and attempt_placed has software and resumes. No decision reads either.

--- a/coordination/relay/record.go
+++ b/coordination/relay/record.go
@@ -110,6 +110,8 @@
 		"counted_prefill":   h.counted.Prefill,
 		"counted_decode":    h.counted.Decode,
 		"after_event":       h.lastEvent,
+		"resumes":           h.request.Resumes,
+		"software":          h.softwareOf(plan.Decode),
 		"avoided":           len(a.Avoid),
 		"directory":         d.Revision(),
 		"ms":                h.relay.cfg.Now().Sub(h.request.Arrived).Milliseconds(),
--- a/coordination/relay/types.go
+++ b/coordination/relay/types.go
@@ -63,7 +63,10 @@
 	// LastEvent is the ID of the event after which a stream resumes; empty starts from the
 	// beginning.
 	LastEvent string
-	Arrived   time.Time
+	// Resumes is the ID of the attempt that received the first event of a resumed stream; empty if
+	// not stated.
+	Resumes string
+	Arrived time.Time
 }
 
 // Call is one request to an endpoint.
--- a/coordination/relay/where.go
+++ b/coordination/relay/where.go
@@ -74,6 +74,12 @@
 	return Endpoint{Service: h.service.Name, ID: w.ID, Address: w.Address, Born: w.Born}, ""
 }
 
+// softwareOf returns the software version of an endpoint; empty if it is unknown.
+func (h *handler) softwareOf(id string) string {
+	w, _ := h.relay.cfg.Directory.Directory().Status(id)
+	return w.Version
+}
+
 // placeWithoutHome chooses any endpoint that the request may be sent to and has not tried.
 // Endpoints that are cold or announce a limit are left out, since no home counts what they get.
 // If no endpoint is left, withheld is the reason why endpoints that serve other requests were
--- a/protocol/relayapi/relayapi.go
+++ b/protocol/relayapi/relayapi.go
@@ -28,6 +28,8 @@
 	Deadline string
 	// LastEvent is the id of the last event received, when a stream is resumed.
 	LastEvent string
+	// Resumes is the id of the attempt that received the first event, when a stream is resumed.
+	Resumes string
 	// Tokens and LengthHint describe a model request: its prompt tokens and maximum
 	// output tokens, and the caller's estimate of the output tokens.
 	Tokens, LengthHint string
@@ -67,6 +69,7 @@
 		RequestID:    "Runridge-Request-Id",
 		Deadline:     "Runridge-Deadline-Ms",
 		LastEvent:    "Last-Event-Id",
+		Resumes:      "Runridge-Resumes",
 		Tokens:       "Runridge-Tokens",
 		LengthHint:   "Runridge-Length-Hint",
 		Signature:    "Runridge-Signature",
--- a/state/directory/directory.go
+++ b/state/directory/directory.go
@@ -38,6 +38,8 @@
 	ColdFor time.Duration
 	// Born is the Unix time of its start in milliseconds; 0 means not reported.
 	Born int64
+	// Version is the version of its software; empty means unknown.
+	Version string
 }
 
 // Status is an endpoint's entry and its state in the directory.
--- a/transport/relayhttp/read.go
+++ b/transport/relayhttp/read.go
@@ -200,6 +200,9 @@
 		default:
 			q.Header = append(q.Header, relay.HeaderField{Name: name, Value: text})
 		}
+		if strings.EqualFold(name, names.Resumes) {
+			q.Resumes = text
+		}
 		if strings.EqualFold(name, names.Tokens) {
 			q.Prompt.Tokens, q.Prompt.Output = relayapi.ParseTokens(text)
 		}
