A stream goes on only at the software version that began it

No box knew an engine's version, so a stream that was cut went on at any engine; and a caller who came back at another box was a new request, since what the first box knew of the stream stayed there. Class: the version has no name in the code, so nothing could be bound to it.

Now the box that passes a stream on binds the rest of it to the version of its first event, homes leave engines of other versions out for decoding, and the box looks again before it sends. When all boxes have ended, an object in the platform tells which versions are possible, written only when the versions of a service change. A resumed request no longer waits beyond the time at which its caller gives up.

--- a/box/measured.go
+++ b/box/measured.go
@@ -199,6 +199,22 @@
 	return err
 }
 
+// SoftwareVersions reads the software versions that are written for a service.
+func (m meteredPlatform) SoftwareVersions(ctx context.Context, service string) ([]string, uint64, error) {
+	begin := time.Now()
+	versions, revision, err := m.RelayPlatform.SoftwareVersions(ctx, service)
+	m.record("software_versions", begin, err)
+	return versions, revision, err
+}
+
+// WriteSoftwareVersions writes the software versions of a service.
+func (m meteredPlatform) WriteSoftwareVersions(ctx context.Context, service string, versions []string, revision uint64) error {
+	begin := time.Now()
+	err := m.RelayPlatform.WriteSoftwareVersions(ctx, service, versions, revision)
+	m.record("write_software_versions", begin, err)
+	return err
+}
+
 // Remove takes a box off the list.
 func (m meteredPlatform) Remove(ctx context.Context, name string, version uint64) error {
 	begin := time.Now()
--- a/box/routed.go
+++ b/box/routed.go
@@ -22,6 +22,7 @@
 	"runridge.example/runridge/coordination/registry"
 	"runridge.example/runridge/coordination/relay"
 	"runridge.example/runridge/coordination/stages"
+	origins "runridge.example/runridge/coordination/streams"
 	"runridge.example/runridge/modules/ring"
 	"runridge.example/runridge/modules/setting"
 	"runridge.example/runridge/protocol/boxwire"
@@ -49,6 +50,7 @@
 	drain.Source
 	registry.Platform
 	stages.Leases
+	origins.Store
 }
 
 // routed holds the parts of a box that serve routed services.
@@ -56,6 +58,7 @@
 	platform   RelayPlatform
 	relay      *relay.Relay
 	quotas     *quota.Keeper
+	origins    *origins.Keeper
 	stages     *stages.Keeper
 	server     *relayhttp.Server
 	endpoints  *upstream.Client
@@ -124,6 +127,7 @@
 		Bound:  quotaBoundOf(s),
 		Log:    b.options.Log,
 	})
+	r.origins = b.newOrigins()
 	r.stages = stages.New(stages.Config{
 		Self:    b.settings.Name,
 		Leases:  r.platform,
@@ -146,6 +150,7 @@
 		Homes:        b.router,
 		Directory:    r.discoverer,
 		Quotas:       r.quotas,
+		Origins:      r.origins,
 		Quarantine:   b.quarantine,
 		Ready:        r.drains.Ready,
 		Tables:       b.follower,
--- a/coordination/discover/outage.go
+++ b/coordination/discover/outage.go
@@ -42,6 +42,13 @@
 	d.outage.failed = true
 }
 
+// LastHeard returns when the platform last answered this box, or another box that reported it.
+func (d *Discoverer) LastHeard() time.Time {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.outage.lastHeard
+}
+
 // noteHeard records that the platform answers. It is called before the answer is applied,
 // so that entries that disappear after an outage get a grace period.
 func (d *Discoverer) noteHeard(now time.Time) {
--- a/coordination/home/configure.go
+++ b/coordination/home/configure.go
@@ -190,6 +190,7 @@
 			Weight:          m.Weight,
 			ColdUntil:       m.ColdUntil,
 			SharedBy:        t.CountServices(e),
+			Software:        e.Software,
 		})
 	}
 	return out
--- a/coordination/relay/answer.go
+++ b/coordination/relay/answer.go
@@ -133,6 +133,7 @@
 		if end := lastEventEnd(pending.data); end > 0 {
 			if first.IsZero() {
 				first = h.relay.cfg.Now()
+				h.noteFirstEvent(id)
 			} else {
 				h.steps += bytes.Count(pending.data[:end], eventEnd) * h.tokensPerEvent()
 				h.stepTime = h.relay.cfg.Now().Sub(first)
--- a/coordination/relay/exchange.go
+++ b/coordination/relay/exchange.go
@@ -40,6 +40,10 @@
 
 // execute makes the exchanges of one grant.
 func (h *handler) execute(ctx context.Context, a schedule.Ask, plan lifecycle.Plan) result {
+	if w, known := h.relay.cfg.Directory.Directory().Status(plan.Decode); known && !h.softwareSuits(w) {
+		// Homes of earlier builds don't know of versions.
+		return result{kind: unsent, endpoint: plan.Decode, reason: reasonOtherSoftware}
+	}
 	if plan.Prefill == "" || plan.Mode == lifecycle.Recompute {
 		return h.send(ctx, plan.Decode, "")
 	}
@@ -196,12 +200,17 @@
 	if reason != "" {
 		return result{kind: unsent, endpoint: id, reason: reason}
 	}
+	w, _ := h.relay.cfg.Directory.Directory().Status(id)
+	if !h.softwareSuits(w) {
+		return result{kind: unsent, endpoint: id, reason: reasonOtherSoftware}
+	}
 	if !h.mayDecode(id) {
 		return result{kind: unsent, endpoint: id, reason: reasonNotCounted}
 	}
 	if !h.allowArrival() {
 		return result{kind: refused, reason: "retry_budget", retryAfter: minRetryAfter}
 	}
+	h.noteBegun(w)
 	h.sends++
 	call := h.newCall(e)
 	call.Source, call.Repeatable = source, h.route.Idempotent()
--- a/coordination/relay/refuse.go
+++ b/coordination/relay/refuse.go
@@ -99,12 +99,16 @@
 	return !h.route.Stream() || h.route.GiveUpMS > 0
 }
 
-// callerPatience returns how much longer the caller waits for the answer or its first event.
+// callerPatience returns how much longer the caller waits for the answer or the next event.
 func (h *handler) callerPatience() time.Duration {
 	now := h.relay.cfg.Now()
 	left := h.deadline.Sub(now)
 	if h.route.Stream() {
-		left = min(left, h.route.GiveUp()-now.Sub(h.request.Arrived))
+		waitingSince := h.request.Arrived
+		if !h.lastPiece.IsZero() {
+			waitingSince = h.lastPiece
+		}
+		left = min(left, h.route.GiveUp()-now.Sub(waitingSince))
 	}
 	return left
 }
@@ -119,7 +123,7 @@
 	known := h.relay.cfg.Directory.Directory()
 	closed := h.anyClosed(known)
 	places := slices.DeleteFunc(slices.Clone(h.relay.cfg.Homes.PlacesOf(h.service.Name)), func(p group.Place) bool {
-		return slices.Contains(h.groupsWithoutEngine, p.Key) || !h.groupEligible(known, p, closed)
+		return slices.Contains(h.groupsWithoutEngine, p.Key) || !h.groupEligible(known, p, closed) || !h.groupHasSoftware(known, p)
 	})
 	refused := make([]string, 0, len(h.refusals))
 	for _, f := range h.refusals {
@@ -148,6 +152,8 @@
 		h.challenge(reasonKeyWithdrawn)
 	case res.reason == reasonPoison:
 		h.refusePoison()
+	case res.reason == reasonSoftwareGone:
+		h.refuse(http.StatusServiceUnavailable, reasonSoftwareGone, h.clampRetryAfter(softwareGoneRetry))
 	case len(h.refusals) > 0:
 		// The request's own group has reserved capacity for the retry.
 		h.refuse(http.StatusServiceUnavailable, res.reason, h.clampRetryAfter(h.refusals[0].retryAfter))
--- a/coordination/relay/relay.go
+++ b/coordination/relay/relay.go
@@ -72,6 +72,9 @@
 	EndpointRequests(service string, answers, prefills int)
 	// StreamGap records the longest pause between two pieces of a stream.
 	StreamGap(service string, longest time.Duration)
+	// StreamTakenUp counts a stream that its caller takes up, by how the version that began it was
+	// found.
+	StreamTakenUp(service, found string)
 	// BudgetDenied counts a retry that the retry budget did not allow.
 	BudgetDenied(service string)
 	// ExchangeBroken counts an exchange with an endpoint that was interrupted, by cause.
@@ -93,6 +96,8 @@
 	Homes     Homes
 	Directory Directory
 	Quotas    Quotas
+	// Origins keeps which software version began each stream; nil means that versions don't matter.
+	Origins Origins
 	// Quarantine keeps poison requests away from the endpoints; nil disables it.
 	Quarantine *quarantine.Keeper
 	// Ready reports whether the box knows where requests may go; nil means always.
--- a/coordination/relay/run.go
+++ b/coordination/relay/run.go
@@ -93,6 +93,9 @@
 	// is the ID of the last event it received.
 	headSent  bool
 	lastEvent string
+	// software is the software version at which the stream has to go on; empty if it has not begun
+	// or any version will do.
+	software string
 	// firstByteAt is when the first byte of the answer was sent to the caller.
 	firstByteAt time.Time
 	// steps counts the tokens of the attempt's events after the first one, and stepTime is the
@@ -228,6 +231,9 @@
 	if h.request.Wait > 0 && h.request.Wait < found.Timeout() {
 		h.deadline = h.request.Arrived.Add(h.request.Wait)
 	}
+	if !h.findOrigin(ctx) {
+		return
+	}
 	h.age = h.relay.noteWait(found.Name, h.request.Wait)
 	h.late = h.age >= found.Target() && h.mayBeLate()
 	ctx, cancel := context.WithDeadlineCause(ctx, h.deadline, errTimeout)
@@ -367,6 +373,7 @@
 	a.RemainingPatience = h.callerPatience()
 	a.Spill = len(h.refusals) > 0 && !h.lastAsk
 	a.RegionRoundTrip = h.roundTrip(h.group)
+	a.Software = h.software
 	if h.service.Engine == nil {
 		a.Deadline = h.deadline.Sub(h.request.Arrived)
 		if target := h.route.Target(); target > 0 {
--- a/coordination/relay/where.go
+++ b/coordination/relay/where.go
@@ -24,7 +24,7 @@
 // isWithheld reports whether the reason is one for which this box holds back a request from an
 // endpoint that has not failed and serves other requests.
 func isWithheld(reason string) bool {
-	return reason == notice.ReasonLeaving || reason == notice.ReasonResting || reason == reasonNotCounted
+	return reason == notice.ReasonLeaving || reason == notice.ReasonResting || reason == reasonNotCounted || reason == reasonOtherSoftware
 }
 
 // resolveRegions sets the regions in which the request may be served, as permitted by its route
@@ -74,12 +74,6 @@
 	return Endpoint{Service: h.service.Name, ID: w.ID, Address: w.Address, Born: w.Born}, ""
 }
 
-// softwareOf returns the software version of an endpoint; empty if it is unknown.
-func (h *handler) softwareOf(id string) string {
-	w, _ := h.relay.cfg.Directory.Directory().Status(id)
-	return w.Version
-}
-
 // placeWithoutHome chooses any endpoint that the request may be sent to and has not tried.
 // Endpoints that are cold or announce a limit are left out, since no home counts what they get.
 // If no endpoint is left, withheld is the reason why endpoints that serve other requests were
@@ -93,7 +87,7 @@
 		case w.Stage == directory.StagePrefill, slices.Contains(h.avoid, w.ID), slices.Contains(unreached, w.ID):
 		case !ok && isWithheld(reason):
 			withheld = reason
-		case !ok:
+		case !ok, !h.softwareSuits(w):
 		case h.isPaced(w.ID):
 			withheld = reasonNotCounted
 		default:
@@ -182,5 +176,8 @@
 			return reason
 		}
 	}
+	if h.software != "" && !slices.ContainsFunc(h.relay.cfg.Homes.PlacesOf(h.service.Name), func(p group.Place) bool { return h.groupHasSoftware(known, p) }) {
+		return reasonSoftwareGone
+	}
 	return string(lifecycle.ReasonNoEngine)
 }
--- a/modules/metric/metric.go
+++ b/modules/metric/metric.go
@@ -65,6 +65,7 @@
 	brokenExchanges  metric.Int64Counter
 	endpointsEnded   metric.Int64Counter
 	poisonRefused    metric.Int64Counter
+	streamsTakenUp   metric.Int64Counter
 	quotaDecisions   metric.Int64Counter
 	stageOrders      metric.Int64Counter
 	coldGranted      metric.Int64Counter
@@ -145,6 +146,9 @@
 	if m.brokenExchanges, err = meter.Int64Counter("runridge.exchanges.broken", metric.WithUnit("{exchange}"), metric.WithDescription("Exchanges with endpoints that broke off, by service and how.")); err != nil {
 		return err
 	}
+	if m.streamsTakenUp, err = meter.Int64Counter("runridge.streams.taken_up", metric.WithUnit("{request}"), metric.WithDescription("Streams that callers took up, by service and how the software version that began them was found.")); err != nil {
+		return err
+	}
 	if m.quotaDecisions, err = meter.Int64Counter("runridge.quota.decisions", metric.WithUnit("{request}"), metric.WithDescription("Decisions on accounts' quotas, by account and outcome.")); err != nil {
 		return err
 	}
@@ -187,6 +191,12 @@
 	m.eventGap.Record(context.Background(), longest.Seconds(), metric.WithAttributes(attribute.String("service", service)))
 }
 
+// StreamTakenUp counts a stream that its caller takes up; found is how the software version that
+// began it was found.
+func (m *Metrics) StreamTakenUp(service, found string) {
+	m.streamsTakenUp.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service), attribute.String("found", found)))
+}
+
 // BudgetDenied counts a retry that the budget did not allow.
 func (m *Metrics) BudgetDenied(service string) {
 	m.retriesDenied.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service)))
--- a/protocol/boxwire/boxwire.go
+++ b/protocol/boxwire/boxwire.go
@@ -62,6 +62,9 @@
 	KindTunnel
 	KindTunnelReply
 	KindTunnelData
+	KindOrigin
+	KindOriginQuestion
+	KindOriginAnswer
 	// kindEnd is one above the last kind.
 	kindEnd
 )
@@ -255,6 +258,10 @@
 	KindTunnel:      func() Message { return &Tunnel{} },
 	KindTunnelReply: func() Message { return &TunnelReply{} },
 	KindTunnelData:  func() Message { return &TunnelData{} },
+
+	KindOrigin:         func() Message { return &Origin{} },
+	KindOriginQuestion: func() Message { return &OriginQuestion{} },
+	KindOriginAnswer:   func() Message { return &OriginAnswer{} },
 }
 
 // Append appends the frame of a message to buf, encoded for a receiver of version v. It
--- a/protocol/boxwire/group.go
+++ b/protocol/boxwire/group.go
@@ -77,6 +77,7 @@
 	Limits     []Limit
 	Barred     []Ref
 	Leaving    []Ref
+	Software   string
 }
 
 // Refuse refuses an ask.
@@ -194,6 +195,7 @@
 		Limits:       fromLimits(a.Limits),
 		Barred:       refsOf(a.Excluded),
 		Leaving:      refsOf(a.Leaving),
+		Software:     a.Software,
 	}
 	for _, hash := range a.Marks {
 		m.Marks = append(m.Marks, uint32(hash))
@@ -234,6 +236,7 @@
 		Limits:            limitsOf(n, a.Limits),
 		Excluded:          n.lookUpKnown(a.Barred),
 		Leaving:           n.lookUpKnown(a.Leaving),
+		Software:          a.Software,
 	}
 	for i, hash := range a.Marks {
 		out.Marks = append(out.Marks, uint64(hash))
--- a/protocol/boxwire/kinds.go
+++ b/protocol/boxwire/kinds.go
@@ -42,6 +42,10 @@
 	KindTunnel:      "tunnel",
 	KindTunnelReply: "tunnel_reply",
 	KindTunnelData:  "tunnel_data",
+
+	KindOrigin:         "origin",
+	KindOriginQuestion: "origin_question",
+	KindOriginAnswer:   "origin_answer",
 }
 
 // String returns the name of the kind for logs and metrics.
--- a/protocol/boxwire/version.go
+++ b/protocol/boxwire/version.go
@@ -19,9 +19,11 @@
 	VersionLimits
 	// VersionTunnels builds also read KindTunnel and connect other boxes to endpoints.
 	VersionTunnels
+	// VersionOrigins builds also keep the software versions that began streams.
+	VersionOrigins
 
 	// VersionCurrent is the version of this build.
-	VersionCurrent = VersionTunnels
+	VersionCurrent = VersionOrigins
 )
 
 // minVersions has the first version that reads a kind, where that is not VersionNone.
@@ -33,6 +35,10 @@
 	KindTunnel:       VersionTunnels,
 	KindTunnelReply:  VersionTunnels,
 	KindTunnelData:   VersionTunnels,
+
+	KindOrigin:         VersionOrigins,
+	KindOriginQuestion: VersionOrigins,
+	KindOriginAnswer:   VersionOrigins,
 }
 
 // Reads reports whether builds of this version read messages of a kind.
--- a/protocol/boxwire/version_test.go
+++ b/protocol/boxwire/version_test.go
@@ -47,10 +47,11 @@
 	m.Message.Total = 3
 	m.Message.Updates = []member.Box{{Name: "d", Wire: uint16(VersionCurrent)}}
 	update := withChanges(all["update"].(*Update), 1)
-	update.Update.Changes[0].Entry.Born = 1_800_000_000_125
+	update.Update.Changes[0].Entry.Born, update.Update.Changes[0].Entry.Version = 1_800_000_000_125, "v1.1"
 	limits := []Limit{{Engine: 15, Named: true, PerSecond: 2.8, AgeMS: 40}, {Engine: 16}}
 	ask, grant, slot := *all["ask"].(*Ask), *all["grant"].(*Grant), *all["slot"].(*Slot)
 	ask.Limits, grant.Limits, slot.Limits, slot.Paced = limits, limits, limits, true
+	ask.Software = "v1.1"
 	done := *all["done"].(*Done)
 	done.Others = 2
 	return map[string]Message{"hello": &hello, "member": &m, "update": update, "ask": &ask, "grant": &grant, "slot": &slot, "done": &done}
--- a/state/directory/directory.go
+++ b/state/directory/directory.go
@@ -88,6 +88,11 @@
 	heldUntil time.Time
 	// drained is the set of drained availability zones. The map is never modified.
 	drained map[string]bool
+	// since is when the directory first received data of the platform.
+	since time.Time
+	// endedVersions has, by service and software version, when an endpoint last ceased to have that
+	// version. The maps are never modified.
+	endedVersions map[string]map[string]time.Time
 }
 
 // changeRecord lists the endpoints that a change affected.
@@ -236,6 +241,9 @@
 		return d
 	}
 	following := d.Known()
+	if !following {
+		d.since = now
+	}
 	d.at = at
 	changed, refreshed := make(map[string]*Status), make(map[string]*Status)
 	for _, c := range changes {
@@ -256,6 +264,10 @@
 		if c.Gone {
 			w.Entry = old.Entry
 		}
+		if w.Version == "" && w.Born == old.Born {
+			// Boxes of earlier builds forward entries without the version.
+			w.Version = old.Version
+		}
 		w.ZoneDrained = d.drained[w.Zone]
 		w.ColdUntil = old.coldUntil(now, w.Entry)
 		if w.ColdFor != old.ColdFor {
@@ -276,7 +288,7 @@
 	if len(changed) == 0 {
 		return d
 	}
-	return d.with(changed)
+	return d.withEndedVersions(now, changed).with(changed)
 }
 
 // WithReplaced returns the directory after another endpoint answered at the address of the
--- a/state/directory/merge.go
+++ b/state/directory/merge.go
@@ -118,7 +118,10 @@
 		Address: w.Address,
 		Slots:   w.Slots,
 		Leaving: w.Draining || w.ZoneDrained,
-		Pool:    PoolName(s.Name, table.RolePlain),
+
+		Software: w.Version,
+
+		Pool: PoolName(s.Name, table.RolePlain),
 	}
 	if s.Engine == nil {
 		return e
--- a/state/schedule/group.go
+++ b/state/schedule/group.go
@@ -112,6 +112,9 @@
 	index   map[string]int
 	zones   []string
 	view    View
+	// viewSoftware is the software version that the ask of the view's last update is bound to.
+	viewSoftware string
+
 	waiting []*waiter
 	grants  map[lifecycle.AttemptID]*grant
 	// meanAsk is the mean of recent asks, and lengths learns the length of answers.
--- a/state/schedule/order.go
+++ b/state/schedule/order.go
@@ -17,6 +17,8 @@
 	// deadline is the latest time of a first token that meets the target. For a late request it
 	// is when its caller gives up.
 	deadline int64
+	// giveUpAt is when the caller of a resumed request stops waiting; 0 if that is not known.
+	giveUpAt int64
 	// idleNS is the time to the first token on an idle group.
 	idleNS int64
 	// late is true if the request can no longer meet its target.
@@ -25,9 +27,13 @@
 	trial bool
 }
 
-// cannotMeetDeadline reports whether even an idle group could not meet the deadline.
+// cannotMeetDeadline reports whether even an idle group could not meet the deadline, or for a resumed
+// request could not go on before its caller gives up.
 func (w *waiter) cannotMeetDeadline(now int64) bool {
-	return !w.ask.Resume && !w.trial && now+w.idleNS > w.deadline
+	if w.ask.Resume {
+		return w.giveUpAt > 0 && now+w.idleNS > w.giveUpAt
+	}
+	return !w.trial && now+w.idleNS > w.deadline
 }
 
 // decayedSum is a sum that decays exponentially; amount is its value at a time.
--- a/state/schedule/pace.go
+++ b/state/schedule/pace.go
@@ -125,10 +125,11 @@
 // isPaced reports whether the number of grants to the engine is limited.
 func (e *engine) isPaced() bool { return e.cold || e.limit.Named }
 
-// updatePacing updates the view if any engine's grants are limited.
+// updatePacing updates the view if any engine's grants are limited, or if it was last updated for an
+// ask that is bound to another software version.
 func (g *Group) updatePacing(t int64, a Ask) {
 	g.updateCold(t)
-	if slices.ContainsFunc(g.engines, func(e engine) bool { return e.isPaced() }) {
+	if g.viewSoftware != a.Software || slices.ContainsFunc(g.engines, func(e engine) bool { return e.isPaced() }) {
 		g.updateAvailability(t, a)
 	}
 }
--- a/state/schedule/queue.go
+++ b/state/schedule/queue.go
@@ -25,6 +25,9 @@
 	if g.cfg.Plain {
 		w.idleNS = int64(g.serviceNS)
 	}
+	if a.Resume && a.RemainingPatience > 0 {
+		w.giveUpAt = t + int64(a.RemainingPatience) - messageTime(a)
+	}
 	if a.Late {
 		w.deadline = t + int64(a.RemainingPatience) - messageTime(a)
 		return w
@@ -208,11 +211,12 @@
 	now := g.start.Add(time.Duration(t))
 	g.updateCold(t)
 	defer g.excludePaced(t)
+	g.viewSoftware = a.Software
 	for i := range g.engines {
 		e, v := &g.engines[i], &g.view.Engines[i]
 		excluded := e.isLeaving(t) || e.breaker.Ejected(now) || t < e.fullUntil || t < e.changingUntil || a.excludes(e.spec.Name)
 		v.Prefill = e.spec.Prefill && !excluded && !e.resultBreaker.Ejected(now)
-		v.Decode = e.spec.Decode && !excluded
+		v.Decode = e.spec.Decode && !excluded && a.mayDecodeOn(e.spec)
 		if v.Queued > 0 && v.FreeAt < t {
 			v.FreeAt = t + int64(overduePrefillRemaining)
 		}
--- a/state/schedule/refuse.go
+++ b/state/schedule/refuse.go
@@ -150,7 +150,7 @@
 // engines count, because they come back.
 func (g *Group) canDecode(t int64, a Ask) bool {
 	return slices.ContainsFunc(g.engines, func(e engine) bool {
-		return e.spec.Decode && !e.isLeaving(t) && !a.excludes(e.spec.Name)
+		return e.spec.Decode && !e.isLeaving(t) && !a.excludes(e.spec.Name) && a.mayDecodeOn(e.spec)
 	})
 }
 
--- a/state/schedule/types.go
+++ b/state/schedule/types.go
@@ -76,6 +76,8 @@
 	// SharedBy is the number of services that share the engine, each with a home of its own; 0
 	// means 1.
 	SharedBy int
+	// Software is the version of the engine's software; empty means unknown.
+	Software string
 }
 
 // Targets are the latency targets of a service, and how it weighs wasted prefill.
@@ -167,13 +169,23 @@
 	// capacity that requests in time leave free, and is refused at once if that will not be
 	// enough.
 	Late bool
-	// RemainingPatience is how much longer the caller of a late request waits for the first token.
+	// RemainingPatience is how much longer the caller of a late or resumed request waits for the
+	// next token.
 	RemainingPatience time.Duration
 	// RegionRoundTrip is the round-trip time between the asking box and the region of the group,
 	// if that is another region; 0 means the same region.
 	RegionRoundTrip time.Duration
 	// Limits are the limits of engines of this group that the asking box knows of.
 	Limits []EngineLimit
+	// Software is the software version at which the stream has to go on, since what two versions
+	// write does not fit together; empty means any. Only the engine that decodes is bound by it.
+	Software string
+}
+
+// mayDecodeOn reports whether an engine's software version suits the ask. If the group does not know
+// the version, the asking box decides.
+func (a Ask) mayDecodeOn(e EngineSpec) bool {
+	return a.Software == "" || e.Software == "" || a.Software == e.Software
 }
 
 // excludes reports whether the engine must not be chosen for the ask.
--- a/state/spread/spread.go
+++ b/state/spread/spread.go
@@ -69,6 +69,10 @@
 	return f.orders.Of(key, func() []string { return f.near.Order(key) })
 }
 
+// First lists the highest ranked boxes of the own region for a key, at most limit of them. Unlike the
+// order that Near returns it is not cached, for keys that are used once.
+func (f Fleet) First(key string, limit int) []string { return f.near.First(key, limit) }
+
 // RegionEntries returns the first box of each other region in rank order for a key, which receives
 // updates for its region.
 func (f Fleet) RegionEntries(key string) []string {
--- a/state/table/table.go
+++ b/state/table/table.go
@@ -110,6 +110,8 @@
 	Leaving bool `json:"leaving,omitempty"`
 	// ChecksFence means that the endpoint refuses orders with an outdated fencing token.
 	ChecksFence bool `json:"checks_fence,omitempty"`
+	// Software is the version of the endpoint's software; empty means unknown.
+	Software string `json:"software,omitempty"`
 }
 
 // Row assigns a pool to a service, with a weight for each zone.
--- /dev/null
+++ b/tests/mutants/streams.go
@@ -0,0 +1,52 @@
+// Copyright 2026 The Runridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package main
+
+// streamMutants are faults by which a stream goes on at another software version, or not at all.
+var streamMutants = []mutant{
+	{
+		name: "any_version_is_granted", file: "state/schedule/queue.go", pkg: "./state/schedule", args: only("TestStreamGoesOnOnlyAtItsSoftwareVersion"),
+		old: " && a.mayDecodeOn(e.spec)", fault: "",
+	},
+	{
+		name: "version_without_engines_is_waited_for", file: "state/schedule/refuse.go", pkg: "./state/schedule", args: only("TestStreamGoesOnOnlyAtItsSoftwareVersion"),
+		old: " && a.mayDecodeOn(e.spec)", fault: "",
+	},
+	{
+		name: "resumed_stream_waits_for_ever", file: "state/schedule/order.go", pkg: "./state/schedule", args: only("TestResumedStreamWaitsUntilItsDeadline"),
+		old: "return w.giveUpAt > 0 && now+w.idleNS > w.giveUpAt", fault: "return false",
+	},
+	{
+		name: "home_decides_on_the_version", file: "coordination/relay/exchange.go", pkg: "./coordination/relay", args: only("TestHomeNamesAnEngineOfAnotherSoftwareVersion"),
+		old: "if w, known := h.relay.cfg.Directory.Directory().Status(plan.Decode); known && !h.softwareSuits(w) {", fault: "if false {",
+	},
+	{
+		name: "placed_alone_at_any_version", file: "coordination/relay/where.go", pkg: "./coordination/relay", args: only("TestStreamIsPlacedWithoutAHomeAtAnotherSoftwareVersion"),
+		old: "case !ok, !h.softwareSuits(w):", fault: "case !ok:",
+	},
+	{
+		name: "caller_who_returns_is_new", file: "coordination/relay/software.go", pkg: "./tests/routed", args: only("TestStreamMixesSoftwareVersionsAfterItsCallerReturns"),
+		old: "	h.software = found.Software\n", fault: "",
+	},
+	{
+		name: "rest_of_the_answer_is_not_bound", file: "coordination/relay/answer.go", pkg: "./tests/routed", args: only("TestStreamMixesSoftwareVersionsInOneAnswer"),
+		old: "				h.noteFirstEvent(id)\n", fault: "",
+	},
+	{
+		name: "origins_stay_at_one_box", file: "coordination/streams/streams.go", pkg: "./coordination/streams", args: only("TestFind"),
+		old: "if box != k.cfg.Self && sent < copies {", fault: "if false {",
+	},
+	{
+		name: "box_that_started_knows_all_versions", file: "state/streams/streams.go", pkg: "./state/streams", args: only("TestOnly"),
+		old: "case len(all) == 1 && complete:", fault: "case len(all) == 1:",
+	},
+	{
+		name: "ended_versions_are_forgotten", file: "state/directory/directory.go", pkg: "./state/directory", args: only("TestVersions"),
+		old: "d.withEndedVersions(now, changed).with(changed)", fault: "d.with(changed)",
+	},
+	{
+		name: "versions_seen_once_are_dropped", file: "coordination/streams/history.go", pkg: "./coordination/streams", args: only("TestSoftwareVersionsAreWritten"),
+		old: "if !view.Complete {", fault: "if false {",
+	},
+}
--- a/tests/routed/versions_test.go
+++ b/tests/routed/versions_test.go
@@ -41,6 +41,23 @@
 	return out
 }
 
+// newVersionedSite returns a site whose boxes know each other, with engines of several versions.
+func newVersionedSite(t *testing.T, boxes int, versions ...string) *site {
+	t.Helper()
+	s := newSite(t, boxes, versionedEngines(versions...)...)
+	s.waitJoined()
+	s.eventually("the versions are written", func() bool { return len(s.store.Names("softwareversions")) > 0 })
+	return s
+}
+
+// waitJoined waits until all boxes know each other.
+func (s *site) waitJoined() {
+	s.t.Helper()
+	for _, b := range s.boxes {
+		s.eventually("the box knows the others", func() bool { return b.LiveBoxes() == len(s.boxes) })
+	}
+}
+
 // softwareOf returns the software versions of the engines that ran any of the attempts.
 func (s *site) softwareOf(attempts ...string) []string {
 	var out []string
@@ -121,7 +138,7 @@
 
 func TestStreamMixesSoftwareVersionsInOneAnswer(t *testing.T) {
 	convey.Convey("A stream that is cut in its middle goes on at an engine of the version that began it", t, func() {
-		s := newSite(t, 2, versionedEngines("v1", "v2")...)
+		s := newVersionedSite(t, 2, "v1", "v2")
 		for _, e := range s.endpoints {
 			e.Behave(standin.Cut)
 		}
@@ -150,7 +167,7 @@
 	for name, where := range cases {
 		t.Run(name, func(t *testing.T) {
 			convey.Convey("A stream that its caller takes up goes on at the version that began it", t, func() {
-				s := newSite(t, 3, versionedEngines("v1", "v2")...)
+				s := newVersionedSite(t, 3, "v1", "v2")
 				for range versionedStreams {
 					stream := s.beginStream(s.boxes[0])
 					a := s.finishStream(where(s, &stream), &stream)
@@ -165,7 +182,7 @@
 
 func TestStreamMixesSoftwareVersionsAfterItsBoxHasEnded(t *testing.T) {
 	convey.Convey("Streams whose box has ended go on at other boxes, at the version that began them", t, func() {
-		s := newSite(t, 3, versionedEngines("v1", "v2")...)
+		s := newVersionedSite(t, 3, "v1", "v2")
 		var streams []brokenStream
 		for range versionedStreams {
 			streams = append(streams, s.beginStream(s.boxes[0]))
@@ -181,9 +198,47 @@
 	})
 }
 
+func TestStreamMixesSoftwareVersionsAfterAllBoxesHaveEnded(t *testing.T) {
+	cases := map[string]struct {
+		versions []string
+		status   int
+	}{
+		"one version serves": {versions: []string{"v1"}, status: http.StatusOK},
+		"two versions serve": {versions: []string{"v1", "v2"}, status: http.StatusServiceUnavailable},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			convey.Convey("Streams of which no box knows anything any more go on only if one version can have begun them", t, func() {
+				s := newVersionedSite(t, 2, c.versions...)
+				var streams []brokenStream
+				for range versionedStreams {
+					streams = append(streams, s.beginStream(s.boxes[0]))
+				}
+				ended := s.boxes
+				for _, b := range ended {
+					b.stop()
+				}
+				for _, b := range ended {
+					<-b.done
+				}
+				s.boxes = nil
+				for i := range 2 {
+					b := s.start(fmt.Sprintf("box-%d", i+1))
+					s.eventually("the box is ready", b.Ready)
+				}
+				for i := range streams {
+					a := s.finishStream(s.boxes[i%2], &streams[i])
+					convey.So(a.status, convey.ShouldEqual, c.status)
+					convey.So(s.softwareOf(streams[i].attempts...), convey.ShouldHaveLength, 1)
+				}
+			})
+		})
+	}
+}
+
 func TestStreamGoesOnAlthoughItsSoftwareVersionIsGone(t *testing.T) {
 	convey.Convey("A stream of a version that no engine has any more is refused at once and reaches no engine", t, func() {
-		s := newSite(t, 2, versionedEngines("v1", "v2")...)
+		s := newVersionedSite(t, 2, "v1", "v2")
 		var streams []brokenStream
 		for range versionedStreams {
 			streams = append(streams, s.beginStream(s.boxes[0]))
@@ -222,7 +277,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			convey.Convey("A stream that no box knows goes on only if no other version can have begun it", t, func() {
-				s := newSite(t, 2, versionedEngines(c.versions...)...)
+				s := newVersionedSite(t, 2, c.versions...)
 				stream := brokenStream{attempts: []string{"request-of-nobody"}, last: "2"}
 				before := s.totalArrivals()
 				a := s.finishStream(s.boxes[1], &stream)
