A completion goes on only at the software version that began it

An engine names its version in the answer to a decode order, the table may name it too. The box binds the rest of a completion to it, leaves out engines that announced another one, and drops an answer that shows another one only now.

--- a/coordination/adapter/adapter.go
+++ b/coordination/adapter/adapter.go
@@ -64,6 +64,8 @@
 	Index   int
 	Text    string
 	Last    bool
+	// Software is the software version of the engine that sent it; empty if the engine names none.
+	Software string
 }
 
 // Hold is engine memory kept for an attempt.
--- a/coordination/dispatch/ask.go
+++ b/coordination/dispatch/ask.go
@@ -4,6 +4,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"runridge.example/runridge/coordination/home"
@@ -73,8 +74,9 @@
 		OutputTokens: d.request.OutputTokens - e.Emitted,
 		Deadline:     d.request.Deadline,
 		Resume:       e.Emitted > 0 || e.Kept != "",
-		Avoid:        e.Avoid,
+		Avoid:        slices.Concat(e.Avoid, d.unsuitedEngines()),
 		KeptBy:       e.Kept,
+		Software:     d.software,
 	}
 	d.currentAsk.Marks, d.currentAsk.MarkTokens = d.prefixMarks()
 	d.report = schedule.Report{ID: id}
@@ -85,6 +87,14 @@
 	d.sendAsk()
 }
 
+// unsuitedEngines lists the engines of the group's table at which the answer cannot go on.
+func (d *driver) unsuitedEngines() []string {
+	return slices.DeleteFunc(d.dispatcher.software.unsuited(d.software), func(engine string) bool {
+		_, known := d.dispatcher.cfg.Tables.Table().Endpoint(engine)
+		return !known
+	})
+}
+
 // noEngineRetryMS is the retry delay for a service that has no engine now.
 const noEngineRetryMS = 1000
 
--- a/coordination/dispatch/dispatcher.go
+++ b/coordination/dispatch/dispatcher.go
@@ -108,6 +108,8 @@
 	budget health.Budget
 
 	transcripts *transcripts
+	// software has the software versions that engines announce.
+	software softwareVersions
 }
 
 // New returns a Dispatcher with the given configuration; zero values are replaced by defaults.
--- a/coordination/dispatch/driver.go
+++ b/coordination/dispatch/driver.go
@@ -40,7 +40,10 @@
 	home    string
 	marks   []prefix.Mark
 	emitted strings.Builder
-	order   order
+	// software is the software version of the engine that began the answer; empty if the answer has
+	// not begun or the version is not known.
+	software string
+	order    order
 	// used holds the engines that orders were sent to.
 	used map[string]table.Endpoint
 	// currentAsk is the ask in flight, and askTimer fires when it has to be repeated.
@@ -153,6 +156,10 @@
 		d.step(ev.event)
 	case failureEvent:
 		d.handleFailure(ev)
+	case softwareEvent:
+		if ev.attempt == d.machine.Attempt && d.machine.Emitted == 0 {
+			d.software = ev.software
+		}
 	case moveEvent:
 		if ev.event.Attempt == d.machine.Attempt {
 			d.report.MoveTime = ev.took
--- a/coordination/dispatch/orders.go
+++ b/coordination/dispatch/orders.go
@@ -4,6 +4,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"time"
@@ -140,6 +141,7 @@
 		order.Recompute = &p
 	}
 	withheld := d.withholdDecode(e.Engine)
+	bound := d.software
 	d.startOrder(func(ctx context.Context) {
 		if withheld != "" {
 			d.failWithheld(e.Attempt, e.Engine, withheld)
@@ -153,7 +155,7 @@
 			d.forward(ctx, attempt, e, engine)
 			return
 		}
-		d.decode(ctx, e, engine.Name, func(ctx context.Context, each func(adapter.Token) bool) error {
+		d.decode(ctx, e, engine, bound, func(ctx context.Context, each func(adapter.Token) bool) error {
 			return d.dispatcher.cfg.Engine.Decode(ctx, engine, attempt, order, d.request.Once, each)
 		})
 	})
@@ -170,31 +172,44 @@
 }
 
 // decode posts the tokens of an answer and cancels the stream when none arrives within the step
-// timeout.
-func (d *driver) decode(ctx context.Context, e lifecycle.StartDecode, engine string, stream func(context.Context, func(adapter.Token) bool) error) {
+// timeout. An answer that goes on is bound to the software version that began it; empty means any.
+func (d *driver) decode(ctx context.Context, e lifecycle.StartDecode, engine table.Endpoint, bound string, stream func(context.Context, func(adapter.Token) bool) error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	alarm := time.AfterFunc(d.dispatcher.cfg.StepTimeout, func() { cancel(errStalled) })
 	defer alarm.Stop()
 	want := lifecycle.AttemptID{Request: d.call.ID, Number: e.Attempt}.String()
-	complete := false
+	begun, complete, unsuited := false, false, false
 	err := stream(ctx, func(t adapter.Token) bool {
 		alarm.Reset(d.dispatcher.cfg.StepTimeout)
 		if t.Attempt != want {
 			// The stream belongs to another request, so none of its tokens count.
 			return false
 		}
+		software := cmp.Or(t.Software, engine.Software)
+		if !begun {
+			d.dispatcher.software.note(engine.Name, t.Software)
+		}
+		if unsuited = !softwareSuits(bound, software); unsuited {
+			return false
+		}
+		if !begun {
+			begun = true
+			d.call.post(softwareEvent{attempt: e.Attempt, software: software})
+		}
 		d.call.post(lifecycle.Token{Attempt: e.Attempt, Index: t.Index, Text: t.Text, Last: t.Last})
 		complete = complete || t.Last
 		return !t.Last
 	})
-	if complete {
-		return
-	}
-	if err == nil {
-		err = adapter.ErrDidRun.New("answer ended before its last token")
+	switch {
+	case complete:
+	case unsuited:
+		d.failUnsuited(e.Attempt, engine.Name)
+	case err == nil:
+		d.failOrder(e.Attempt, engine.Name, adapter.ErrDidRun.New("answer ended before its last token"), lifecycle.ReasonEngine)
+	default:
+		d.failOrder(e.Attempt, engine.Name, err, lifecycle.ReasonEngine)
 	}
-	d.failOrder(e.Attempt, engine, err, lifecycle.ReasonEngine)
 }
 
 // attempt returns the ID of the current attempt.
--- a/coordination/dispatch/paced.go
+++ b/coordination/dispatch/paced.go
@@ -35,6 +35,9 @@
 // first order of an attempt counts toward the limits, so it records that the decode has
 // started; later orders of the same attempt are allowed.
 func (d *driver) withholdDecode(engine string) string {
+	if e, known := d.dispatcher.cfg.Tables.Table().Endpoint(engine); known && !softwareSuits(d.software, e.Software) {
+		return reasonOtherSoftware
+	}
 	if reason := d.dispatcher.cfg.Notices.Availability(engine).Reason(); reason != "" && !d.decodeStarted {
 		return reason
 	}
--- a/fakes/engine/engine.go
+++ b/fakes/engine/engine.go
@@ -26,6 +26,9 @@
 type Config struct {
 	Name string
 	Zone string
+	// Software is the version of the engine's software, which is part of each token; an empty one is
+	// not announced.
+	Software string
 	// PrefillRate is in tokens per second.
 	PrefillRate float64
 	// A decode step takes StepBase plus StepPer for each running answer.
@@ -101,6 +104,8 @@
 
 	limit   atomic.Pointer[float64]
 	leaving atomic.Bool
+	// cutAfter is after how many tokens answers are cut off; 0 means never.
+	cutAfter atomic.Int64
 	// rest is the rest that the engine asks for while it rejects requests, in nanoseconds; 0 is none.
 	rest     atomic.Int64
 	arrivals arrival.Log
--- a/fakes/engine/http.go
+++ b/fakes/engine/http.go
@@ -53,6 +53,9 @@
 // NameLimit makes the engine announce a limit in its answers, in requests per second.
 func (e *Engine) NameLimit(perSecond float64) { e.limit.Store(&perSecond) }
 
+// CutAnswers makes the engine cut off answers that begin here after some tokens; 0 ends that.
+func (e *Engine) CutAnswers(after int) { e.cutAfter.Store(int64(after)) }
+
 // Leave makes the engine announce in its answers that it leaves.
 func (e *Engine) Leave() { e.leaving.Store(true) }
 
@@ -255,8 +258,15 @@
 		return
 	}
 	w.Header().Set("Content-Type", "application/x-ndjson")
+	if e.cfg.Software != "" {
+		w.Header().Set(engineapi.HeaderSoftware, e.cfg.Software)
+	}
 	w.WriteHeader(http.StatusOK)
-	e.streamTokens(w, r, j)
+	after := e.cutAfter.Load()
+	if order.EmittedCount > 0 {
+		after = 0
+	}
+	e.streamTokens(w, r, j, after)
 }
 
 // recompute takes a slot and computes the prefill of a decode order on this engine, between its decode
@@ -317,10 +327,15 @@
 	return j, true
 }
 
-func (e *Engine) streamTokens(w http.ResponseWriter, r *http.Request, j *decodeJob) {
+// streamTokens sends the tokens of an answer, and cuts it off after some of them if cutAfter is not 0.
+func (e *Engine) streamTokens(w http.ResponseWriter, r *http.Request, j *decodeJob, cutAfter int64) {
 	lines := json.NewEncoder(w)
 	control := http.NewResponseController(w)
-	for {
+	for sent := int64(0); ; sent++ {
+		if cutAfter > 0 && sent >= cutAfter {
+			e.abortDecode(j)
+			panic(http.ErrAbortHandler)
+		}
 		select {
 		case t := <-j.tokens:
 			if lines.Encode(t) != nil || control.Flush() != nil {
--- a/fakes/engine/work.go
+++ b/fakes/engine/work.go
@@ -217,6 +217,9 @@
 		return
 	}
 	t := engineapi.TokenLine{Attempt: j.attempt, Index: j.next, Text: j.words[j.next], Last: j.next == len(j.words)-1}
+	if e.cfg.Software != "" {
+		t.Text += "@" + e.cfg.Software
+	}
 	select {
 	case j.tokens <- t:
 	default:
--- a/fakes/fleet/fleet.go
+++ b/fakes/fleet/fleet.go
@@ -45,6 +45,9 @@
 	ResultTTL time.Duration
 	// EndsAt, if not empty, crashes each engine that is to prefill a prompt that contains it.
 	EndsAt string
+	// Software returns the version of an engine's software, by its name; nil means that none is
+	// announced.
+	Software func(engine string) string
 	// StepTimeoutMS is the boxes' timeout for an order to an engine, in milliseconds.
 	StepTimeoutMS int
 	Log           log.Logger
@@ -157,8 +160,13 @@
 
 // startEngine starts the stand-in for an engine and puts its address in the table.
 func (f *Fleet) startEngine(e table.Endpoint) error {
+	software := ""
+	if f.cfg.Software != nil {
+		software = f.cfg.Software(e.Name)
+	}
 	fake := engine.New(engine.Config{
 		Name:            e.Name,
+		Software:        software,
 		Zone:            e.Zone,
 		PrefillRate:     float64(e.PrefillTokensPerSecond) * f.cfg.Skew,
 		StepBase:        time.Duration(float64(e.StepBaseUS)/f.cfg.Skew) * time.Microsecond,
--- a/protocol/engineapi/engineapi.go
+++ b/protocol/engineapi/engineapi.go
@@ -25,6 +25,10 @@
 // about to shut down.
 const HeaderLeaving = "Runridge-Leaving"
 
+// HeaderSoftware is on answers to a DecodeOrder; its value is the version of the engine's software.
+// What two versions write does not fit together.
+const HeaderSoftware = "Runridge-Software"
+
 // PrefillOrder asks the engine to compute a prompt's KV cache and keep it.
 type PrefillOrder struct {
 	Attempt string `json:"attempt"`
--- a/tests/mutants/streams.go
+++ b/tests/mutants/streams.go
@@ -33,6 +33,10 @@
 		name: "rest_of_the_answer_is_not_bound", file: "coordination/relay/answer.go", pkg: "./tests/routed", args: only("TestStreamMixesSoftwareVersionsInOneAnswer"),
 		old: "				h.noteFirstEvent(id)\n", fault: "",
 	},
+	{
+		name: "completion_goes_on_anywhere", file: "coordination/dispatch/orders.go", pkg: "./tests/integration", args: only("TestCompletionMixesSoftwareVersions"),
+		old: "if unsuited = !softwareSuits(bound, software); unsuited {", fault: "if unsuited {",
+	},
 	{
 		name: "origins_stay_at_one_box", file: "coordination/streams/streams.go", pkg: "./coordination/streams", args: only("TestFind"),
 		old: "if box != k.cfg.Self && sent < copies {", fault: "if false {",
--- a/transport/enginehttp/enginehttp.go
+++ b/transport/enginehttp/enginehttp.go
@@ -123,7 +123,11 @@
 		return err
 	}
 	defer discard(resp)
-	return readTokens(resp.Body, each)
+	software := resp.Header.Get(engineapi.HeaderSoftware)
+	return readTokens(resp.Body, func(t adapter.Token) bool {
+		t.Software = software
+		return each(t)
+	})
 }
 
 // readTokens reads one JSON line per token. Its errors are adapter.ErrDidRun, since the engine
