--- a/bench/soak/check/check.go
+++ b/bench/soak/check/check.go
@@ -96,6 +96,10 @@
 	// Allowed lists the zones that may serve a route or an account, by its name. A route
 	// or account without an entry may be served in any zone.
 	Allowed map[string][]string
+	// Streams are those that callers take up, and Serving the times in which engines of a software
+	// version served.
+	Streams []Stream
+	Serving []Serving
 	Ended   time.Time
 }
 
@@ -130,6 +134,7 @@
 	v.checkColdPace()
 	v.checkLimits()
 	v.checkClosed()
+	v.checkStreams()
 }
 
 // EndpointPlace returns the place of an endpoint: its id without the trailing start number.
--- a/bench/soak/load.go
+++ b/bench/soak/load.go
@@ -47,7 +47,11 @@
 	for n := 0; ctx.Err() == nil; n++ {
 		a := r.drawRequest(b, random)
 		a.ID = fmt.Sprintf("%s%s%d-%d", b.name, check.IDSeparator, i, n)
-		r.sendRequest(client, b, random, a)
+		if r.cfg.Features.Versions && a.Route == routeResumable {
+			r.runStream(client, random, a)
+		} else {
+			r.sendRequest(client, b, random, a)
+		}
 		time.Sleep(minPause + time.Duration(random.Int64N(int64(pauseJitter))))
 	}
 }
@@ -156,11 +160,7 @@
 		}
 		return ""
 	}
-	var want strings.Builder
-	for i := 1; i <= streamEvents; i++ {
-		_, _ = fmt.Fprintf(&want, "id: %d\ndata: %d of %s\n\n", i, i, a.ID)
-	}
-	if body != want.String() {
+	if body = withoutVersions(body); body != eventsOf(a.ID, 1) {
 		return "events are missing, out of order or of another request: " + strconv.Quote(body)
 	}
 	return ""
--- a/bench/soak/schedule/schedule.go
+++ b/bench/soak/schedule/schedule.go
@@ -75,6 +75,9 @@
 	// leaves, and then end.
 	EndpointTired   Kind = "endpoint_wants_rest"
 	EndpointParting Kind = "endpoint_says_it_leaves"
+	// EndpointReleased replaces an endpoint by one of another software version, a later or an
+	// earlier one.
+	EndpointReleased Kind = "endpoint_released"
 	// TransfersStalled applies to engines that speak the router's own protocol.
 	TransfersStalled Kind = "transfers_stalled"
 )
@@ -150,12 +153,13 @@
 	EndpointLimited:  {target: OnPlace, weight: 6, minDuration: 8 * second, jitter: 8 * second},
 	EndpointTired:    {target: OnPlace, weight: 4, minDuration: 4 * second, jitter: 8 * second},
 	EndpointParting:  {target: OnPlace, weight: 4, minDuration: 6 * second, jitter: 4 * second},
+	EndpointReleased: {target: OnPlace, weight: 6, minDuration: 4 * second, jitter: 2 * second},
 	TransfersStalled: {weight: 2},
 }
 
 // optional are the kinds that are drawn only if they are asked for. Kinds that were added
 // later are here too, so that a seed still draws the schedule that it drew before.
-var optional = []Kind{ZoneDrained, TransfersStalled, PoisonRequest, EndpointLimited, EndpointTired, EndpointParting, StoreOlder, EndpointsLost}
+var optional = []Kind{ZoneDrained, TransfersStalled, PoisonRequest, EndpointLimited, EndpointTired, EndpointParting, StoreOlder, EndpointsLost, EndpointReleased}
 
 // ByDefault returns the kinds that are drawn for routed services unless others are asked for:
 // all except those that need an optional feature of a deployment and those that were added
--- a/bench/soak/signals.go
+++ b/bench/soak/signals.go
@@ -256,6 +256,7 @@
 		defer r.recordFault(check.Fault{Kind: string(e.Kind), Place: m.Name})()
 		_ = r.site.call("Crash", standin.Act{Place: m.Name}, &ids[i])
 		m.link.SetTarget("")
+		r.noteServingEnded(m.Name)
 	}
 	if len(moved) == 2 {
 		moved[0].link, moved[1].link = moved[1].link, moved[0].link
@@ -275,8 +276,19 @@
 // startEndpoint starts a new endpoint at a place. If other names a place, the endpoint takes
 // the address of that place.
 func (r *run) startEndpoint(p *endpointPlace, other string) {
+	r.startEndpointOf(p, standin.Act{Place: p.Name, Other: other})
+}
+
+// startEndpointOf starts a new endpoint at a place as the act says.
+func (r *run) startEndpointOf(p *endpointPlace, a standin.Act) {
+	if a.Version != "" {
+		p.Version = a.Version
+	}
 	var address string
-	err := r.site.call("Start", standin.Act{Place: p.Name, Other: other}, &address)
+	err := r.site.call("Start", a, &address)
 	r.report.Count("endpoint_restart", err == nil, "%s: %v", p.Name, err)
 	p.link.SetTarget(address)
+	if p.Version != "" {
+		r.noteServing(p.Name, p.Version)
+	}
 }
--- a/bench/soak/site.go
+++ b/bench/soak/site.go
@@ -182,8 +182,14 @@
 			return err
 		}
 		p.Told = link.Addr()
+		if r.cfg.Features.Versions && p.Stage == "decode" {
+			p.Version, p.EventGap = softwareVersions[len(r.places)%2], versionedEventGap
+		}
 		cfg.Places = append(cfg.Places, p)
 		r.places = append(r.places, &endpointPlace{Place: p, link: link, reserved: make(chan struct{}, 1)})
+		if p.Version != "" {
+			r.noteServing(p.Name, p.Version)
+		}
 	}
 	var err error
 	if r.site, err = startSite(r.cfg.Site, cfg); err != nil {
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -45,6 +45,9 @@
 	// Cold has endpoints start cold, and Regions restricts a route and an account to one
 	// region.
 	Cold, Regions bool
+	// Versions has engines of several software versions side by side, and callers that take streams
+	// up at other boxes.
+	Versions bool
 }
 
 // Result holds the outcome of a run.
--- a/cmd/runridge-bench/soak.go
+++ b/cmd/runridge-bench/soak.go
@@ -47,6 +47,7 @@
 	Limits      bool     `long:"limits" description:"endpoints announce limits on the requests that they accept"`
 	Closed      bool     `long:"closed" description:"endpoints announce in their answers that they are leaving or need rest"`
 	Older       bool     `long:"older" description:"the store is restored from older copies"`
+	Versions    bool     `long:"versions" description:"engines of several software versions serve side by side, and callers take streams up at other boxes"`
 	Completions bool     `long:"completions" description:"boxes serve the product's own completions API"`
 	File        string   `long:"file" description:"file of runs, one line of options each, in place of --seed and --seeds"`
 	Jobs        int      `long:"jobs" default:"1" description:"number of concurrent runs"`
@@ -241,7 +242,7 @@
 	return soak.Config{
 		Router: c.Router, Seed: seed, Boxes: c.Boxes, Workers: c.Workers, Faults: c.Faults,
 		Length: time.Duration(c.Minutes * float64(time.Minute)), Kinds: c.kinds(), LogLevel: c.LogLevel, Room: c.Room,
-		Features: soak.Features{Cold: c.Cold, Regions: c.Regions},
+		Features: soak.Features{Cold: c.Cold, Regions: c.Regions, Versions: c.Versions},
 	}
 }
 
@@ -265,6 +266,9 @@
 		if c.Closed {
 			out = append(out, schedule.EndpointTired, schedule.EndpointParting)
 		}
+		if c.Versions {
+			out = append(out, schedule.EndpointReleased)
+		}
 		if c.Older {
 			out = append(out, schedule.StoreOlder)
 		}
