Broken exchanges name the parts of their prompts

A request whose exchange broke off was known in the logs by all its bytes only; what it has in common with others did not show. attempt_failed names the fingerprints of the parts of the prompt that other requests may share. No decision is changed.

--- a/coordination/quarantine/request.go
+++ b/coordination/quarantine/request.go
@@ -18,6 +18,7 @@
 	id, service string
 	asks        poison.Request
 	made        *poison.Fingerprint
+	parts       []poison.Fingerprint
 }
 
 // Request returns the Request for a caller's ID and a service. It returns nil without a
@@ -26,9 +27,21 @@
 	if k == nil || asks.Target == "" {
 		return nil
 	}
+	asks.Service = service
 	return &Request{k: k, id: id, service: service, asks: asks}
 }
 
+// Parts returns the fingerprints of the parts of the prompt that other requests may share.
+func (r *Request) Parts() []poison.Fingerprint {
+	if r == nil || len(r.asks.Parts) == 0 {
+		return nil
+	}
+	if r.parts == nil {
+		r.parts = poison.PartsOf(r.asks)
+	}
+	return r.parts
+}
+
 // Fingerprint returns the fingerprint of the request; equal requests share it.
 func (r *Request) Fingerprint() poison.Fingerprint {
 	if r == nil {
--- a/coordination/relay/poison.go
+++ b/coordination/relay/poison.go
@@ -24,6 +24,7 @@
 	if h.quarantined == nil {
 		h.quarantined = h.relay.cfg.Quarantine.Request(h.request.ID, h.service.Name, poison.Request{
 			Method: h.request.Method, Host: h.request.Host, Target: h.request.Target, Account: h.accountName(), Body: h.request.Body,
+			Parts: h.request.Prompt.Parts,
 		})
 	}
 	return h.quarantined
--- a/coordination/relay/record.go
+++ b/coordination/relay/record.go
@@ -138,6 +138,7 @@
 		fields["broke"] = res.broke
 		fields["ran_ms"] = res.ran.Milliseconds()
 		fields["fingerprint"] = h.suspect().Fingerprint().String()
+		fields["parts"] = h.suspect().Parts()
 	}
 	h.relay.cfg.Log.WithFields(fields).Info("attempt_failed")
 }
--- a/coordination/relay/types.go
+++ b/coordination/relay/types.go
@@ -32,6 +32,8 @@
 	Tokens, Output int
 	// Hint is the caller's estimate of the output length in tokens; 0 if none was given.
 	Hint int
+	// Parts are the IDs of the parts of the prompt that other prompts may have too, in order.
+	Parts []string
 }
 
 // Credential identifies the caller by the digest of its API key. The key itself is not kept
--- a/protocol/relayapi/notice_test.go
+++ b/protocol/relayapi/notice_test.go
@@ -5,6 +5,8 @@
 
 import (
 	"net/http"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -37,3 +39,24 @@
 		})
 	}
 }
+
+func TestSharedParts(t *testing.T) {
+	cases := map[string]struct {
+		text string
+		want []string
+	}{
+		"all but the last":  {"5c1e07a2:800,91BD3F06:410,e4402b7d:250", []string{"5c1e07a2", "91bd3f06"}},
+		"one part":          {"5c1e07a2:800", nil},
+		"none":              {"", nil},
+		"an invalid one":    {"5c1e07a2:800,:3,nothing,e4402b7d:250,ab:1", []string{"5c1e07a2", "e4402b7d"}},
+		"one that is long":  {strings.Repeat("a", 65) + ":1,b:2,c:3", []string{"b"}},
+		"more than counted": {strings.Repeat("a:1,", 40) + "b:1", slices.Repeat([]string{"a"}, 16)},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			if got := ParseSharedParts(c.text); !slices.Equal(got, c.want) {
+				t.Errorf("got %v, want %v", got, c.want)
+			}
+		})
+	}
+}
--- a/protocol/relayapi/relayapi.go
+++ b/protocol/relayapi/relayapi.go
@@ -33,6 +33,9 @@
 	// Tokens and LengthHint describe a model request: its prompt tokens and maximum
 	// output tokens, and the caller's estimate of the output tokens.
 	Tokens, LengthHint string
+	// Parts lists the parts of a prompt in order, as ID:TOKENS joined by commas; the last one belongs
+	// to the request or its session alone.
+	Parts string
 	// Signature is on every answer that an endpoint vouches for as its own.
 	Signature string
 	// NotRun is on the answer of an endpoint that did not run the request.
@@ -72,6 +75,7 @@
 		Resumes:      "Runridge-Resumes",
 		Tokens:       "Runridge-Tokens",
 		LengthHint:   "Runridge-Length-Hint",
+		Parts:        "Runridge-Parts",
 		Signature:    "Runridge-Signature",
 		NotRun:       "Runridge-Not-Run",
 		Instance:     "Runridge-Instance",
@@ -128,6 +132,27 @@
 	return parseCount(first), parseCount(second)
 }
 
+// maxParts bounds the parts of a prompt that count, and maxPartID the length of the ID of each.
+const (
+	maxParts  = 16
+	maxPartID = 64
+)
+
+// ParseSharedParts parses "ID:TOKENS,..." and returns the IDs of the parts that other prompts may
+// have too: all but the last. Further and invalid parts are left out.
+func ParseSharedParts(text string) []string {
+	parts := strings.Split(text, ",")
+	parts = parts[:min(len(parts)-1, maxParts)]
+	var out []string
+	for _, part := range parts {
+		id, _, found := strings.Cut(strings.TrimSpace(part), ":")
+		if found && id != "" && len(id) <= maxPartID {
+			out = append(out, strings.ToLower(id))
+		}
+	}
+	return out
+}
+
 // ParseHint parses the estimate of the output tokens; 0 means that there is none.
 func ParseHint(text string) int { return parseCount(text) }
 
--- a/state/poison/fingerprint.go
+++ b/state/poison/fingerprint.go
@@ -27,12 +27,31 @@
 	// Account is the client account; empty if there is none.
 	Account string
 	Body    []byte
+	// Service is the service that is asked, and Parts the IDs of the parts of the prompt that
+	// requests for it may share.
+	Service string
+	Parts   []string
 }
 
 // FingerprintOf returns the fingerprint of a request.
 func FingerprintOf(r Request) Fingerprint {
+	return digest([]byte(r.Method), []byte(r.Host), []byte(r.Target), []byte(r.Account), r.Body)
+}
+
+// PartsOf returns the fingerprints of the parts of a request's prompt. Requests for one service that
+// have a part in common share its fingerprint.
+func PartsOf(r Request) []Fingerprint {
+	out := make([]Fingerprint, 0, len(r.Parts))
+	for _, part := range r.Parts {
+		out = append(out, digest([]byte("part"), []byte(r.Service), []byte(part)))
+	}
+	return out
+}
+
+// digest returns the fingerprint of a list of byte strings.
+func digest(parts ...[]byte) Fingerprint {
 	hash := sha256.New()
-	for _, part := range [][]byte{[]byte(r.Method), []byte(r.Host), []byte(r.Target), []byte(r.Account), r.Body} {
+	for _, part := range parts {
 		// The length prefix keeps bytes from moving between adjacent parts without changing the
 		// digest.
 		hash.Write(binary.AppendUvarint(nil, uint64(len(part))))
--- a/transport/relayhttp/read.go
+++ b/transport/relayhttp/read.go
@@ -206,6 +206,9 @@
 		if strings.EqualFold(name, names.Tokens) {
 			q.Prompt.Tokens, q.Prompt.Output = relayapi.ParseTokens(text)
 		}
+		if strings.EqualFold(name, names.Parts) {
+			q.Prompt.Parts = relayapi.ParseSharedParts(text)
+		}
 		if strings.EqualFold(name, names.LengthHint) {
 			q.Prompt.Hint = relayapi.ParseHint(text)
 		}
