Requests that share a part of their prompts are known by it when engines end

The quarantine knew a request by all that it asks, and no two were alike. Class: the unit that a belief is about; the fault lives in a part of the prompt, which had no name.

Ends now count against the parts of a prompt as well, under the same rule of the fewest that explain all. Parts of requests that endpoints live through are cleared, at all boxes, so that a shared first part is not blamed; parts that always came together are only blocked together; a part is tried again a minute after its last end.

TestPartOfPromptsCrashesEngineAfterEngine: 24 requests crashed 24 or 48 engines before, 3 or 4 after; 24 of 24 others answered. Five deliberate faults are found; that of forgotten answers quotes the moved line.

--- a/coordination/quarantine/check.go
+++ b/coordination/quarantine/check.go
@@ -216,13 +216,15 @@
 			log.FieldRequest: l.request,
 			log.FieldEngine:  c.status.ID,
 			"fingerprint":    l.fingerprint.String(),
+			"parts":          l.parts,
 			"ran_ms":         l.ran.Milliseconds(),
 		}).Info("poison_suspected")
-		suspects = append(suspects, poison.Suspect{
-			Fingerprint: l.fingerprint,
-			Ends:        []poison.End{{Endpoint: startID(c.status), At: c.ended, Ran: l.ran}},
-			Seen:        now,
-		})
+		end := poison.End{Endpoint: startID(c.status), At: c.ended, Ran: l.ran, Of: poison.OfRequest(l.fingerprint)}
+		suspects = append(suspects, poison.Suspect{Fingerprint: l.fingerprint, Ends: []poison.End{end}, Seen: now})
+		for _, part := range l.parts {
+			end.Cleared = k.isSound(part)
+			suspects = append(suspects, poison.Suspect{Fingerprint: part, Ends: []poison.End{end}, Seen: now})
+		}
 	}
 	k.publish(k.update("here", func(now time.Time, l poison.Ledger) (poison.Ledger, []poison.Suspect) {
 		return l.With(now, suspects...)
--- a/coordination/quarantine/quarantine.go
+++ b/coordination/quarantine/quarantine.go
@@ -14,6 +14,9 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+	lru "github.com/hashicorp/golang-lru/v2"
+
 	"runridge.example/runridge/modules/log"
 	"runridge.example/runridge/modules/ring"
 	"runridge.example/runridge/state/directory"
@@ -70,6 +73,7 @@
 	// request is the caller's ID, for the log.
 	request     string
 	fingerprint poison.Fingerprint
+	parts       []poison.Fingerprint
 	endpoint    string
 	// at is when the exchange broke off, ran how long after its send that was, and status
 	// what was known of the endpoint then.
@@ -90,6 +94,13 @@
 	// ms.
 	resolveInterval = 200 * time.Millisecond
 	expiryInterval  = time.Second
+	// maxSoundParts bounds the parts of prompts that are known to be sound, to 0.3 MB.
+	maxSoundParts = 4096
+	// retryParts is how long after the last end requests are kept from the endpoints because of parts of
+	// their prompts: a part that was blamed wrongly is free again then. Boxes differ by up to
+	// retryPartsJitter, so that few of them try at once.
+	retryParts       = time.Minute
+	retryPartsJitter = 10 * time.Second
 )
 
 // Keeper keeps a box's ledger of poison requests and checks endpoints after losses.
@@ -100,6 +111,11 @@
 	// checks are the endpoints under check by start ID; only Run accesses it.
 	checks map[uint64]*check
 
+	// sound has when endpoints last lived through a request with a part of prompts, and retryParts is
+	// how long after the last end requests are kept from the endpoints because of their parts.
+	sound      *lru.Cache[poison.Fingerprint, time.Time]
+	retryParts time.Duration
+
 	mutex  sync.Mutex
 	ledger poison.Ledger
 	digest uint64
@@ -112,8 +128,15 @@
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
+	sound, err := lru.New[poison.Fingerprint, time.Time](maxSoundParts)
+	if err != nil {
+		// The library only rejects sizes below one.
+		panic(err)
+	}
+	jitter := time.Duration(xxhash.Sum64String(cfg.Self) % uint64(retryPartsJitter))
 	return &Keeper{
-		cfg:    cfg,
+		cfg:   cfg,
+		sound: sound, retryParts: retryParts + jitter,
 		losses: ring.New[loss](lossQueue),
 		probed: make(chan probeResult, maxProbes),
 		checks: make(map[uint64]*check),
@@ -128,28 +151,53 @@
 	return k.ledger.Len() > 0
 }
 
-// blocked reports whether a request must not reach an endpoint any more. A blocked request
-// that comes again is remembered for longer, on all boxes.
-func (k *Keeper) blocked(f poison.Fingerprint) bool {
+// blocked reports whether a request must not reach an endpoint any more. What is blocked and comes again
+// is remembered for longer, on all boxes.
+func (k *Keeper) blocked(request poison.Fingerprint, parts []poison.Fingerprint) bool {
 	k.mutex.Lock()
-	if !k.ledger.Blocked(f) {
-		k.mutex.Unlock()
-		return false
+	now := k.cfg.Now()
+	by := k.ledger.BlockedBy(now, k.retryParts, request, parts)
+	var news []poison.Suspect
+	for _, f := range by {
+		next, more := k.ledger.WithSeen(now, f)
+		k.ledger, news = next, append(news, more...)
 	}
-	next, news := k.ledger.WithSeen(k.cfg.Now(), f)
-	k.ledger = next
 	k.mutex.Unlock()
 	k.publish(news)
-	return true
+	return len(by) > 0
 }
 
-// answered records that an endpoint has answered a request in full.
-func (k *Keeper) answered(f poison.Fingerprint) {
+// answered records that an endpoint answers requests with these fingerprints: a whole one, or parts of
+// prompts.
+func (k *Keeper) answered(fingerprints ...poison.Fingerprint) {
+	if !k.anySuspects() {
+		return
+	}
 	k.publish(k.update("answer", func(now time.Time, l poison.Ledger) (poison.Ledger, []poison.Suspect) {
-		return l.WithAnswered(now, f)
+		var news []poison.Suspect
+		for _, f := range fingerprints {
+			var more []poison.Suspect
+			l, more = l.WithAnswered(now, f)
+			news = append(news, more...)
+		}
+		return l, news
 	}))
 }
 
+// noteSound records that endpoints live through requests with these parts.
+func (k *Keeper) noteSound(parts []poison.Fingerprint) {
+	now := k.cfg.Now()
+	for _, f := range parts {
+		k.sound.Add(f, now)
+	}
+}
+
+// isSound reports whether endpoints lived through a request with a part lately.
+func (k *Keeper) isSound(part poison.Fingerprint) bool {
+	at, known := k.sound.Get(part)
+	return known && k.cfg.Now().Sub(at) <= poison.Keep
+}
+
 // reportLoss queues a loss, unless the endpoint was about to end anyway: then its end says
 // nothing about the request.
 func (k *Keeper) reportLoss(l loss) {
--- a/coordination/quarantine/quarantine_test.go
+++ b/coordination/quarantine/quarantine_test.go
@@ -157,7 +157,7 @@
 func (f *fleet) blocking(fingerprint poison.Fingerprint) map[string]bool {
 	out := make(map[string]bool)
 	for _, name := range f.names {
-		if f.boxes[name].ledger.Blocked(fingerprint) {
+		if len(f.boxes[name].ledger.BlockedBy(time.Now(), retryParts, fingerprint, nil)) > 0 {
 			out[name] = true
 		}
 	}
@@ -300,7 +300,7 @@
 		const tries = 200
 		for range tries {
 			time.Sleep(2 * poison.Keep / tries)
-			if !f.boxes["b004"].blocked(poisoned) {
+			if !f.boxes["b004"].blocked(poisoned, nil) {
 				t.Fatal("the poison request was not blocked")
 			}
 		}
--- a/coordination/quarantine/request.go
+++ b/coordination/quarantine/request.go
@@ -57,7 +57,7 @@
 // Poisonous reports whether the request must not reach an endpoint any more, and counts the
 // refusal.
 func (r *Request) Poisonous() bool {
-	if r == nil || !r.k.anySuspects() || !r.k.blocked(r.Fingerprint()) {
+	if r == nil || !r.k.anySuspects() || !r.k.blocked(r.Fingerprint(), r.Parts()) {
 		return false
 	}
 	if r.k.cfg.Metrics != nil {
@@ -72,12 +72,26 @@
 	if r == nil || !how.Cut() {
 		return
 	}
-	r.k.reportLoss(loss{request: r.id, fingerprint: r.Fingerprint(), endpoint: endpoint, ran: ran})
+	r.k.reportLoss(loss{request: r.id, fingerprint: r.Fingerprint(), parts: r.Parts(), endpoint: endpoint, ran: ran})
 }
 
 // Answered reports that an endpoint has answered the request in full.
 func (r *Request) Answered() {
-	if r != nil && r.k.anySuspects() {
-		r.k.answered(r.Fingerprint())
+	if r == nil {
+		return
+	}
+	r.k.noteSound(r.Parts())
+	if r.k.anySuspects() {
+		r.k.answered(append([]poison.Fingerprint{r.Fingerprint()}, r.Parts()...)...)
+	}
+}
+
+// Lives reports that an endpoint goes on with its answer a while after it began: a part of a prompt
+// that ends endpoints does so as they begin to answer.
+func (r *Request) Lives() {
+	if r == nil || len(r.Parts()) == 0 {
+		return
 	}
+	r.k.noteSound(r.Parts())
+	r.k.answered(r.Parts()...)
 }
--- a/coordination/relay/answer.go
+++ b/coordination/relay/answer.go
@@ -125,6 +125,7 @@
 	buffer := make([]byte, pieceSize)
 	pending := partialEvent{hold: hold}
 	var first time.Time
+	lives := false
 	for {
 		n, err := h.read(a, buffer)
 		if !pending.add(buffer[:n]) {
@@ -138,6 +139,10 @@
 				h.steps += bytes.Count(pending.data[:end], eventEnd) * h.tokensPerEvent()
 				h.stepTime = h.relay.cfg.Now().Sub(first)
 			}
+			if !lives && h.relay.cfg.Now().Sub(first) >= livesAfter {
+				lives = true
+				h.suspect().Lives()
+			}
 			if err := h.forwardEvents(a, pending.data[:end]); err != nil {
 				return h.callerFailed(err)
 			}
@@ -158,6 +163,10 @@
 	}
 }
 
+// livesAfter is how long after its first event an endpoint that still sends events is known to live
+// through the request.
+const livesAfter = 250 * time.Millisecond
+
 // tokensPerEvent returns how many tokens one event of a stream represents.
 func (h *handler) tokensPerEvent() int {
 	if h.service.Engine == nil {
--- a/protocol/boxwire/poison.go
+++ b/protocol/boxwire/poison.go
@@ -32,6 +32,8 @@
 	AgeMS    int64
 	RanMS    int64
 	Cleared  bool
+	// Of identifies the request that broke off; 0 from builds that don't tell.
+	Of uint32
 }
 
 // SuspectsPull asks for all suspected requests that the receiver knows.
@@ -50,7 +52,7 @@
 		out := Suspect{Fingerprint: s.Fingerprint[:], AgeMS: now.Sub(s.Seen).Milliseconds()}
 		for _, e := range s.Ends {
 			out.Ends = append(out.Ends, End{
-				Endpoint: e.Endpoint, AgeMS: now.Sub(e.At).Milliseconds(), RanMS: e.Ran.Milliseconds(), Cleared: e.Cleared,
+				Endpoint: e.Endpoint, AgeMS: now.Sub(e.At).Milliseconds(), RanMS: e.Ran.Milliseconds(), Cleared: e.Cleared, Of: e.Of,
 			})
 		}
 		m.Suspects = append(m.Suspects, out)
@@ -71,7 +73,7 @@
 		}
 		for _, e := range s.Ends {
 			out.Ends = append(out.Ends, poison.End{
-				Endpoint: e.Endpoint, At: now.Add(-time.Duration(e.AgeMS) * time.Millisecond), Ran: time.Duration(e.RanMS) * time.Millisecond, Cleared: e.Cleared,
+				Endpoint: e.Endpoint, At: now.Add(-time.Duration(e.AgeMS) * time.Millisecond), Ran: time.Duration(e.RanMS) * time.Millisecond, Cleared: e.Cleared, Of: e.Of,
 			})
 		}
 		u.Suspects = append(u.Suspects, out)
--- a/state/poison/block.go
+++ b/state/poison/block.go
@@ -9,19 +9,35 @@
 	"time"
 )
 
-// endsToBlock is the number of endpoints that a request must end to be classified as a poison
-// request. In simulations of ten seconds with some 330 other requests (BenchmarkEndsToBlock),
-// three misclassifies none of the others; if one more endpoint per second ends for other
-// reasons, it misclassifies one. Two would misclassify five, and four would cost one more
+// endsToBlock is the number of endpoints that a request, or requests with a part in common, must end
+// to be kept from all others. In simulations of ten seconds with some 330 other requests
+// (BenchmarkEndsToBlock), three misclassifies none of the others; if one more endpoint per second ends
+// for other reasons, it misclassifies one. Two would misclassify five, and four would cost one more
 // endpoint.
 const endsToBlock = 3
 
-// findBlocked returns the poison requests among the suspects. Requests that ran next to a
-// poison request saw the same endpoints end, so the ends are explained by as few requests as
-// possible: the request with the most ends comes first, and the ends that it explains do not
-// count against the others.
-func findBlocked(suspects map[Fingerprint]Suspect, ends int) map[Fingerprint]bool {
-	blocked := make(map[Fingerprint]bool)
+// group is what a request must have to be kept from all endpoints: the fingerprint of one request, or
+// those of parts that came together at each end, so that any of them may be the cause.
+type group struct {
+	members []Fingerprint
+	lastEnd time.Time
+}
+
+// matches reports whether a request has all that the group names.
+func (g group) matches(request Fingerprint, parts []Fingerprint) bool {
+	for _, f := range g.members {
+		if f != request && !slices.Contains(parts, f) {
+			return false
+		}
+	}
+	return true
+}
+
+// findBlocked returns what is to be kept from the endpoints. Requests that ran next to a poison request
+// saw the same endpoints end, so the ends are explained by as few suspects as possible: the one with
+// the most ends comes first, and the ends that it explains do not count against the others.
+func findBlocked(suspects map[Fingerprint]Suspect, ends int) []group {
+	var blocked []group
 	var candidates []Suspect
 	for _, s := range suspects {
 		if s.count() >= ends {
@@ -40,17 +56,49 @@
 			break
 		}
 		found := candidates[at]
-		blocked[found.Fingerprint] = true
+		g := group{members: []Fingerprint{found.Fingerprint}, lastEnd: found.lastEnd()}
+		for _, s := range candidates {
+			if s.alwaysWith(found) {
+				g.members = append(g.members, s.Fingerprint)
+			}
+		}
+		slices.SortFunc(g.members, compareFingerprints)
+		blocked = append(blocked, g)
 		explained = append(explained, found.Ends...)
 		candidates = append(candidates[:at], candidates[at+1:]...)
 	}
 	return blocked
 }
 
+// lastEnd returns when the last end that counts against a suspect came.
+func (s Suspect) lastEnd() time.Time {
+	var last time.Time
+	for _, e := range s.Ends {
+		if !e.Cleared && e.At.After(last) {
+			last = e.At
+		}
+	}
+	return last
+}
+
+// alwaysWith reports whether two parts came in the same requests at all ends that count against them.
+func (s Suspect) alwaysWith(o Suspect) bool {
+	if s.Fingerprint == o.Fingerprint || !s.Fingerprint.IsPart() || !o.Fingerprint.IsPart() {
+		return false
+	}
+	counts := func(e End) bool { return !e.Cleared }
+	return slices.EqualFunc(filter(s.Ends, counts), filter(o.Ends, counts), func(a, b End) bool { return a.same(b) && a.Of == b.Of })
+}
+
+// filter returns the ends that a condition holds for.
+func filter(ends []End, holds func(End) bool) []End {
+	return slices.DeleteFunc(slices.Clone(ends), func(e End) bool { return !holds(e) })
+}
+
 // evidence sums up what speaks against a suspect.
 type evidence struct {
-	// ends is the number of ends that no other request explains, and ran is how long the
-	// request had run in total at the endpoints that ended.
+	// ends is the number of ends that nothing else explains, and ran is how long the request had run
+	// in total at the endpoints that ended.
 	ends        int
 	ran         time.Duration
 	fingerprint Fingerprint
@@ -69,12 +117,25 @@
 
 // strongerThan reports whether the evidence e is stronger than o: more endpoints ended, or they
 // ended sooner after the request reached them. A poison request ends its endpoint as soon as it
-// runs, while the requests next to it arrived earlier. The last comparison only makes all boxes
-// agree.
+// runs, while the requests next to it arrived earlier. A request that always came whole is itself the
+// cause rather than its parts. The last comparison only makes all boxes agree.
 func (e evidence) strongerThan(o evidence) bool {
 	return cmp.Or(
 		cmp.Compare(o.ends, e.ends),
 		cmp.Compare(e.ran, o.ran),
+		compareBool(e.fingerprint.IsPart(), o.fingerprint.IsPart()),
 		compareFingerprints(e.fingerprint, o.fingerprint),
 	) < 0
 }
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
--- a/state/poison/fingerprint.go
+++ b/state/poison/fingerprint.go
@@ -10,6 +10,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"slices"
 )
 
 // fingerprintSize is the length of a fingerprint in bytes. With 128 bits, no two requests of a
@@ -38,12 +39,22 @@
 	return digest([]byte(r.Method), []byte(r.Host), []byte(r.Target), []byte(r.Account), r.Body)
 }
 
-// PartsOf returns the fingerprints of the parts of a request's prompt. Requests for one service that
-// have a part in common share its fingerprint.
+// partTag begins the fingerprints of parts.
+var partTag = [4]byte{'p', 'a', 'r', 't'}
+
+// IsPart reports whether the fingerprint is that of a part of prompts and not of a whole request.
+func (f Fingerprint) IsPart() bool { return [len(partTag)]byte(f[:len(partTag)]) == partTag }
+
+// PartsOf returns the fingerprints of the parts of a request's prompt, each once. Requests for one
+// service that have a part in common share its fingerprint.
 func PartsOf(r Request) []Fingerprint {
 	out := make([]Fingerprint, 0, len(r.Parts))
 	for _, part := range r.Parts {
-		out = append(out, digest([]byte("part"), []byte(r.Service), []byte(part)))
+		f := digest([]byte(r.Service), []byte(part))
+		copy(f[:], partTag[:])
+		if !slices.Contains(out, f) {
+			out = append(out, f)
+		}
 	}
 	return out
 }
--- a/state/poison/ledger.go
+++ b/state/poison/ledger.go
@@ -56,17 +56,24 @@
 	At time.Time
 	// Ran is how long after it was sent there the request broke off.
 	Ran time.Duration
-	// Cleared means that another endpoint has answered the request since.
+	// Cleared means that the request, or for a part one that has it, is answered by other endpoints.
 	Cleared bool
+	// Of identifies the request that broke off then; OfRequest computes it. Of several that have a part
+	// in common it is the one that had run for the least time.
+	Of uint32
 }
 
+// OfRequest returns the identification of a request in End.Of.
+func OfRequest(f Fingerprint) uint32 { return binary.LittleEndian.Uint32(f[:]) }
+
 // EndpointOf returns a hash that identifies one start of an endpoint: two starts with the same
 // ID differ in their start times.
 func EndpointOf(id string, started int64) uint64 {
 	return xxhash.Sum64(binary.AppendVarint([]byte(id), started))
 }
 
-// Suspect is a request that was running at endpoints when they ended.
+// Suspect is a request that was running at endpoints when they ended, or a part of the prompts of such
+// requests.
 type Suspect struct {
 	Fingerprint Fingerprint
 	// Ends lists each start of an endpoint once, ordered by Endpoint and At, and only the first
@@ -80,6 +87,15 @@
 	return cmp.Or(cmp.Compare(e.Endpoint, o.Endpoint), e.At.Compare(o.At))
 }
 
+// merge combines two records of the same end.
+func (e End) merge(o End) End {
+	e.Cleared = e.Cleared || o.Cleared
+	if o.Ran < e.Ran || o.Ran == e.Ran && o.Of < e.Of {
+		e.Ran, e.Of = o.Ran, o.Of
+	}
+	return e
+}
+
 // same reports whether two records describe the same end.
 func (e End) same(o End) bool {
 	return e.Endpoint == o.Endpoint && e.At.Sub(o.At).Abs() < sameEndWithin
@@ -93,8 +109,7 @@
 	var ends []End
 	for _, e := range all {
 		if n := len(ends); n > 0 && ends[n-1].same(e) {
-			ends[n-1].Cleared = ends[n-1].Cleared || e.Cleared
-			ends[n-1].Ran = min(ends[n-1].Ran, e.Ran)
+			ends[n-1] = ends[n-1].merge(e)
 			continue
 		}
 		ends = append(ends, e)
@@ -127,7 +142,7 @@
 // none.
 type Ledger struct {
 	suspects map[Fingerprint]Suspect
-	blocked  map[Fingerprint]bool
+	blocked  []group
 }
 
 // Len returns the number of suspects.
@@ -139,12 +154,25 @@
 	return s, ok
 }
 
-// Blocked reports whether a request is a poison request, which must not reach any endpoint.
-func (l Ledger) Blocked(f Fingerprint) bool { return l.blocked[f] }
+// BlockedBy returns what keeps a request from all endpoints: the fingerprint of the request itself, or
+// those of parts of its prompt; nil if nothing does. Parts no longer do some time after the last end.
+func (l Ledger) BlockedBy(now time.Time, retryParts time.Duration, request Fingerprint, parts []Fingerprint) []Fingerprint {
+	for _, g := range l.blocked {
+		if g.matches(request, parts) && (!g.members[0].IsPart() || now.Sub(g.lastEnd) < retryParts) {
+			return g.members
+		}
+	}
+	return nil
+}
 
-// AllBlocked lists the fingerprints of the poison requests in ascending order.
+// AllBlocked lists the fingerprints of what keeps requests from all endpoints, in ascending order.
 func (l Ledger) AllBlocked() []Fingerprint {
-	return slices.SortedFunc(maps.Keys(l.blocked), compareFingerprints)
+	var out []Fingerprint
+	for _, g := range l.blocked {
+		out = append(out, g.members...)
+	}
+	slices.SortFunc(out, compareFingerprints)
+	return out
 }
 
 func compareFingerprints(a, b Fingerprint) int { return slices.Compare(a[:], b[:]) }
--- a/state/poison/ledger_test.go
+++ b/state/poison/ledger_test.go
@@ -37,12 +37,28 @@
 	return s
 }
 
+// isBlocked reports whether a request is kept from all endpoints.
+func isBlocked(l Ledger, request string) bool {
+	return len(l.BlockedBy(start, time.Minute, fingerprintFor(request), nil)) > 0
+}
+
+// blockedAlone returns the requests that are kept from all endpoints for what they are themselves.
+func blockedAlone(suspects map[Fingerprint]Suspect, ends int) map[Fingerprint]bool {
+	out := make(map[Fingerprint]bool)
+	for _, g := range findBlocked(suspects, ends) {
+		if len(g.members) == 1 {
+			out[g.members[0]] = true
+		}
+	}
+	return out
+}
+
 func ExampleLedger() {
 	var known Ledger
 	for _, endpoint := range []string{"e1", "e2", "e3"} {
 		end := End{Endpoint: EndpointOf(endpoint, 0), At: start, Ran: 50 * time.Millisecond}
 		known, _ = known.With(start, Suspect{Fingerprint: fingerprintFor("poison"), Ends: []End{end}, Seen: start})
-		fmt.Println(endpoint, known.Blocked(fingerprintFor("poison")))
+		fmt.Println(endpoint, isBlocked(known, "poison"))
 	}
 	// Output:
 	// e1 false
@@ -100,13 +116,13 @@
 func TestCountRestartsAfterAnswer(t *testing.T) {
 	known, _ := Ledger{}.With(start, suspect("a", 0, "e1", "e2", "e3"))
 	known, changed := known.WithAnswered(start, fingerprintFor("a"))
-	if len(changed) != 1 || known.Blocked(fingerprintFor("a")) {
+	if len(changed) != 1 || isBlocked(known, "a") {
 		t.Fatal("blocked although it was answered")
 	}
-	if known, _ = known.With(start, suspect("a", 0, "e1", "e4", "e5")); known.Blocked(fingerprintFor("a")) {
+	if known, _ = known.With(start, suspect("a", 0, "e1", "e4", "e5")); isBlocked(known, "a") {
 		t.Error("an end that another box reports late counts again")
 	}
-	if known, _ = known.With(start, suspect("a", 0, "e6")); !known.Blocked(fingerprintFor("a")) {
+	if known, _ = known.With(start, suspect("a", 0, "e6")); !isBlocked(known, "a") {
 		t.Error("three ends after the answer do not block")
 	}
 }
@@ -121,7 +137,7 @@
 		}
 		known = next
 	}
-	if !known.Without(start.Add(Keep)).Blocked(fingerprintFor("a")) {
+	if !isBlocked(known.Without(start.Add(Keep)), "a") {
 		t.Error("dropped although it arrived again")
 	}
 	if known.Without(again.Add(Keep)).Len() != 0 {
@@ -154,11 +170,11 @@
 	if known.Len() != MaxSuspects {
 		t.Errorf("%d suspects are kept, want %d", known.Len(), MaxSuspects)
 	}
-	if !known.Blocked(fingerprintFor("blocked")) {
+	if !isBlocked(known, "blocked") {
 		t.Error("a poison request was evicted in favor of others")
 	}
-	if s, _ := known.Suspect(fingerprintFor("many")); len(s.Ends) != MaxEnds || !known.Blocked(fingerprintFor("many")) {
-		t.Errorf("%d ends of one are kept, blocked %v", len(s.Ends), known.Blocked(fingerprintFor("many")))
+	if s, _ := known.Suspect(fingerprintFor("many")); len(s.Ends) != MaxEnds || !isBlocked(known, "many") {
+		t.Errorf("%d ends of one are kept, blocked %v", len(s.Ends), isBlocked(known, "many"))
 	}
 }
 
@@ -272,7 +288,7 @@
 	for step := range 100 {
 		f.at = time.Duration(step) * 100 * time.Millisecond
 		f.replaceFinished()
-		blocked := findBlocked(f.known.suspects, ends)
+		blocked := blockedAlone(f.known.suspects, ends)
 		if step%2 == 0 && f.random.Float64() < p.spontaneous {
 			f.endEndpoint(f.random.IntN(fleetSize), "")
 		}
@@ -285,7 +301,7 @@
 				lost++
 			}
 		}
-		for fingerprint := range findBlocked(f.known.suspects, ends) {
+		for fingerprint := range blockedAlone(f.known.suspects, ends) {
 			if fingerprint != fingerprintFor("poison0") && fingerprint != fingerprintFor("poison1") {
 				wrong[fingerprint] = true
 			}
--- a/tests/mutants/poison.go
+++ b/tests/mutants/poison.go
@@ -29,7 +29,7 @@
 	},
 	{
 		name: "poison_answer_forgotten", file: ledgerFile, pkg: poisonTests, args: only("TestCountRestartsAfterAnswer|TestBoxesAgree"),
-		old: "ends[n-1].Cleared = ends[n-1].Cleared || e.Cleared", fault: "ends[n-1].Cleared = e.Cleared",
+		old: "	e.Cleared = e.Cleared || o.Cleared\n", fault: "",
 	},
 	{
 		name: "poison_not_renewed", file: ledgerFile, pkg: poisonTests, args: only("TestRepeatedSuspectIsKept"),
@@ -60,3 +60,27 @@
 		old: "	case h.suspect().Poisonous():\n		return reasonPoison\n", fault: "",
 	},
 }
+
+// partMutants are faults by which parts of prompts end endpoint after endpoint, or sound ones are blamed.
+var partMutants = []mutant{
+	{
+		name: "parts_are_not_recorded", file: "coordination/quarantine/check.go", pkg: "./tests/routed", args: only("TestPartOfPromptsCrashesEngineAfterEngine"),
+		old: "for _, part := range l.parts {", fault: "for _, part := range l.parts[:0] {",
+	},
+	{
+		name: "any_part_of_a_group_blocks", file: "state/poison/block.go", pkg: "./state/poison", args: only("TestPartsThatEndEndpointsAreBlocked"),
+		old: "			if s.alwaysWith(found) {", fault: "			if false {",
+	},
+	{
+		name: "parts_stay_blocked", file: "state/poison/ledger.go", pkg: "./state/poison", args: only("TestPartsThatEndEndpointsAreBlocked"),
+		old: "now.Sub(g.lastEnd) < retryParts", fault: "retryParts > 0",
+	},
+	{
+		name: "one_request_blames_its_parts", file: "state/poison/block.go", pkg: "./state/poison", args: only("TestPartsThatEndEndpointsAreBlocked"),
+		old: "compareBool(e.fingerprint.IsPart(), o.fingerprint.IsPart())", fault: "compareBool(o.fingerprint.IsPart(), e.fingerprint.IsPart())",
+	},
+	{
+		name: "sound_parts_are_forgotten", file: "coordination/quarantine/check.go", pkg: "./coordination/quarantine", args: only("TestPartThatIsAnsweredIsBlamedForTheEndsOfOthers"),
+		old: "k.isSound(part)", fault: "false",
+	},
+}
