Streams without a length or chunks are whole only if they end after an event

An answer may have neither a length nor chunks and end with its connection. One that ended inside an event was repeated without a word on whose it was: the endpoint was not avoided, so the same one was asked again, and its end was no evidence. One that ended before its first event was passed on as whole and empty. And each end between events counted as proof that the endpoint lives through the request.

Both now count as broken off, by that endpoint, and only answers whose framing says that they are whole are such proof. A stream that is cut between two events by an orderly close cannot be told from a whole one.

--- a/coordination/relay/answer.go
+++ b/coordination/relay/answer.go
@@ -44,7 +44,9 @@
 	case err != nil:
 		return h.noteBreak(ctx, err, result{kind: failed, endpoint: id, reason: "answer_cut"})
 	}
-	h.suspect().Answered()
+	if !a.Unframed {
+		h.suspect().Answered()
+	}
 	b := &bufferedAnswer{answer: a, body: body}
 	if a.Status >= 500 {
 		h.fallback = b
@@ -100,7 +102,9 @@
 func (h *handler) finishLong(ctx context.Context, id string, a *Answer, err error) result {
 	switch {
 	case errors.Is(err, io.EOF):
-		h.suspect().Answered()
+		if !a.Unframed {
+			h.suspect().Answered()
+		}
 		if err := h.caller.End(); err != nil {
 			return h.callerFailed(err)
 		}
@@ -149,7 +153,7 @@
 			pending.consume(end)
 		}
 		if errors.Is(err, io.EOF) {
-			return h.finishStream(a, pending.data)
+			return h.finishStream(ctx, id, a, pending.data)
 		}
 		if err != nil && h.stall.explainsBreak(h.relay.cfg.Now()) {
 			return h.endStalled()
@@ -206,16 +210,21 @@
 
 // finishStream completes the answer after the stream has ended; rest is the data after the last
 // complete event.
-func (h *handler) finishStream(a *Answer, rest []byte) result {
-	if len(rest) > 0 {
-		return result{kind: failed, reason: "stream_ended_in_event"}
+func (h *handler) finishStream(ctx context.Context, id string, a *Answer, rest []byte) result {
+	switch {
+	case len(rest) > 0:
+		return h.noteBreak(ctx, io.ErrUnexpectedEOF, result{kind: failed, endpoint: id, reason: "stream_ended_in_event"})
+	case a.Unframed && h.lastEvent == "" && !h.headSent:
+		return h.noteBreak(ctx, io.ErrUnexpectedEOF, result{kind: failed, endpoint: id, reason: "stream_without_events"})
 	}
 	if !h.headSent {
 		if err := h.forwardEvents(a, nil); err != nil {
 			return h.callerFailed(err)
 		}
 	}
-	h.suspect().Answered()
+	if !a.Unframed {
+		h.suspect().Answered()
+	}
 	if err := h.caller.End(); err != nil {
 		return h.callerFailed(err)
 	}
--- a/coordination/relay/types.go
+++ b/coordination/relay/types.go
@@ -112,6 +112,9 @@
 	Header []HeaderField
 	// Length is the length of the body in bytes; -1 if unknown.
 	Length int64
+	// Unframed reports that the body has neither a length nor chunks and ends with its connection, so
+	// that its end does not prove that it is whole.
+	Unframed bool
 	Body   io.ReadCloser
 	// Via is the box through which the endpoint was reached; empty if it was directly.
 	Via string
--- a/tests/mutants/poison.go
+++ b/tests/mutants/poison.go
@@ -79,6 +79,14 @@
 		name: "one_request_blames_its_parts", file: "state/poison/block.go", pkg: "./state/poison", args: only("TestPartsThatEndEndpointsAreBlocked"),
 		old: "compareBool(e.fingerprint.IsPart(), o.fingerprint.IsPart())", fault: "compareBool(o.fingerprint.IsPart(), e.fingerprint.IsPart())",
 	},
+	{
+		name: "empty_stream_looks_whole", file: "coordination/relay/answer.go", pkg: "./tests/routed", args: only("TestUnframedStreamThatBreaksOffLooksWhole"),
+		old: `case a.Unframed && h.lastEvent == "" && !h.headSent:`, fault: "case false:",
+	},
+	{
+		name: "half_event_blames_nobody", file: "coordination/relay/answer.go", pkg: "./tests/routed", args: only("TestUnframedStreamThatBreaksOffLooksWhole"),
+		old: `noteBreak(ctx, io.ErrUnexpectedEOF, result{kind: failed, endpoint: id, reason: "stream_ended_in_event"})`, fault: `noteBreak(ctx, io.ErrUnexpectedEOF, result{kind: failed, reason: "stream_ended_in_event"})`,
+	},
 	{
 		name: "sound_parts_are_forgotten", file: "coordination/quarantine/check.go", pkg: "./coordination/quarantine", args: only("TestPartThatIsAnsweredIsBlamedForTheEndsOfOthers"),
 		old: "k.isSound(part)", fault: "false",
--- a/transport/upstream/exchange.go
+++ b/transport/upstream/exchange.go
@@ -217,9 +217,8 @@
 	}
 	x.conn.idleFor = keepAlive(resp.Header)
 	reusable := !resp.Close && !x.stray
-	// An answer without a length ends with its connection.
 	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody {
-		reusable = false
+		a.Unframed, reusable = true, false
 	}
 	strip(resp.Header)
 	for name, values := range resp.Header {
