Completions that share a crashing prefix are known by it

The same fault on the product's own interface: prompts that have only a prefix in common crashed 27 engines in nine tries. The marked prefixes of a prompt, from 1 KiB on, now count as parts. TestPartOfPromptsCrashesEngineAfterEngineOnOwnInterface failed before; 6 engines since (three ends, and the attempts of one request), 9 of 9 others that begin alike served.

--- a/coordination/dispatch/driver.go
+++ b/coordination/dispatch/driver.go
@@ -75,13 +75,15 @@
 }
 
 func newDriver(d *Dispatcher, c *Call, r Request) *driver {
+	marks := prefix.Marks([]byte(r.Prompt))
+	r.PoisonIdentity.Parts = partsOf(marks)
 	return &driver{
 		dispatcher: d,
 		call:       c,
 		request:    r,
 		suspect:    d.cfg.Quarantine.Request(c.ID.String(), r.Service, r.PoisonIdentity),
 		started:    time.Now(),
-		marks:      prefix.Marks([]byte(r.Prompt)),
+		marks:      marks,
 		askTimer:   time.NewTimer(time.Hour),
 		used:       make(map[string]table.Endpoint),
 	}
--- a/coordination/relay/types.go
+++ b/coordination/relay/types.go
@@ -115,7 +115,7 @@
 	// Unframed reports that the body has neither a length nor chunks and ends with its connection, so
 	// that its end does not prove that it is whole.
 	Unframed bool
-	Body   io.ReadCloser
+	Body     io.ReadCloser
 	// Via is the box through which the endpoint was reached; empty if it was directly.
 	Via string
 	// Signed reports whether the answer has the header that marks it as written by the
--- a/tests/integration/poison_test.go
+++ b/tests/integration/poison_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"time"
 
@@ -66,3 +67,44 @@
 		}
 	})
 }
+
+func TestPartOfPromptsCrashesEngineAfterEngineOnOwnInterface(t *testing.T) {
+	const (
+		poison    = "too much for an engine"
+		tries     = 9
+		mostEnded = 6
+	)
+	// The first 1 KiB of all prompts are the same, and the first 2 KiB of those that crash engines.
+	shared := strings.Repeat("the price list, ", 64)
+	deadly := shared + strings.Repeat(poison+". ", 64)
+	convey.Convey("Prompts that have only a crashing prefix in common soon reach no engine, and others that begin alike do", t, func() {
+		table, _ := example.Table(example.Bogota)
+		f, err := fleet.Start(t.Context(), fleet.Config{Table: table, Boxes: 3, Log: log.Discard(), EndsAt: poison})
+		convey.So(err, convey.ShouldBeNil)
+		defer f.Stop()
+		caller := bench.NewCaller()
+		defer caller.Close()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		ended, served := 0, 0
+		crashed := make(map[string]int)
+		for i := range tries {
+			bad, good := request(2*i), request(2*i+1)
+			bad.Prompt, good.Prompt = deadly+bad.Prompt, shared+good.Prompt
+			caller.Do(ctx, f.Boxes[i%3].Box.CallerAddr(), "lm-porta", bad)
+			for name, e := range f.Engines {
+				if e.Crashes() > crashed[name] {
+					ended += e.Crashes() - crashed[name]
+					crashed[name] = e.Crashes()
+					convey.So(f.RestartEngine(name), convey.ShouldBeNil)
+				}
+			}
+			if caller.Do(ctx, f.Boxes[(i+1)%3].Box.CallerAddr(), "lm-porta", good).Outcome == bench.OutcomeFinished {
+				served++
+			}
+		}
+		t.Logf("%d tries crashed %d engines, %d others served", tries, ended, served)
+		convey.So(ended, convey.ShouldBeLessThanOrEqualTo, mostEnded)
+		convey.So(served, convey.ShouldEqual, tries)
+	})
+}
