Soak: parts of prompts that end endpoints, unframed answers, a crowded box

No fault of the soak had requests that differ but for one part, answers without a length or chunks, or most connections at one box.

--- a/bench/soak/check/check.go
+++ b/bench/soak/check/check.go
@@ -100,6 +100,7 @@
 	// version served.
 	Streams []Stream
 	Serving []Serving
+	Crowds  []Crowd
 	Ended   time.Time
 }
 
@@ -135,6 +136,7 @@
 	v.checkLimits()
 	v.checkClosed()
 	v.checkStreams()
+	v.checkCrowds()
 }
 
 // EndpointPlace returns the place of an endpoint: its id without the trailing start number.
--- /dev/null
+++ b/bench/soak/check/crowd.go
@@ -0,0 +1,66 @@
+// Copyright 2026 The Runridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package check
+
+import (
+	"net/http"
+	"slices"
+	"time"
+)
+
+// Crowd is a time in which nearly all callers opened new connections to one box.
+type Crowd struct {
+	Box      string
+	From, To time.Time
+}
+
+const (
+	// minCrowdServed is the least ratio of the share of requests that a crowded box serves to that of
+	// all boxes before, by the platform's specification.
+	minCrowdServed = 0.75
+	// crowdBefore is how long before the crowd the share is taken, and minCrowdRequests how many
+	// requests there have to be in each of the two times.
+	crowdBefore      = 5 * time.Second
+	minCrowdRequests = 30
+)
+
+// checkCrowds checks that a box to which most callers open new connections serves those that it has
+// read about as often as boxes did before.
+func (v *verifier) checkCrowds() {
+	for _, c := range v.Crowds {
+		begin := c.From.Add(v.bounds.Contact)
+		if v.anyFault(c.From.Add(-crowdBefore), c.To) {
+			continue
+		}
+		before, askedBefore := v.servedShare("", c.From.Add(-crowdBefore), c.From)
+		during, asked := v.servedShare(c.Box, begin, c.To)
+		if min(askedBefore, asked) < minCrowdRequests {
+			continue
+		}
+		v.report.Count("served_at_crowded_box", during >= minCrowdServed*before, "%s: %.2f of %d, %.2f of %d before", c.Box, during, asked, before, askedBefore)
+	}
+}
+
+// anyFault reports whether any fault that affects boxes, endpoints, the store or the machine
+// overlapped a time.
+func (v *verifier) anyFault(from, to time.Time) bool {
+	return slices.ContainsFunc(v.Faults, func(f Fault) bool { return f.Overlaps(from, to) })
+}
+
+// servedShare returns which share of the requests was answered that a box, or any if it is empty, read
+// in a time, and their number. Requests refused for their key or quota don't count.
+func (v *verifier) servedShare(box string, from, to time.Time) (share float64, asked int) {
+	served := 0
+	for _, a := range v.Answers {
+		counts := a.Status != 0 && a.Status != http.StatusTooManyRequests && a.Status != http.StatusUnauthorized
+		if !counts || a.CallerLeft || a.Poison != "" || box != "" && a.Box != box || a.Begun.Before(from) || a.Begun.After(to) {
+			continue
+		}
+		asked++
+		if a.Answered() {
+			served++
+		}
+	}
+	return float64(served) / float64(max(asked, 1)), asked
+}
--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -46,8 +46,10 @@
 		return r.leaveEndpoint
 	case schedule.EndpointReleased:
 		return r.releaseEndpoint
-	case schedule.PoisonRequest:
+	case schedule.PoisonRequest, schedule.PoisonPart:
 		return r.repeatPoison
+	case schedule.CallersCrowd:
+		return r.crowdBox
 	case schedule.EndpointLimited:
 		return r.nameLimit
 	case schedule.EndpointTired:
--- a/bench/soak/load.go
+++ b/bench/soak/load.go
@@ -45,6 +45,10 @@
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true}}
 	defer client.CloseIdleConnections()
 	for n := 0; ctx.Err() == nil; n++ {
+		b, client := b, client
+		if crowded := r.crowded.Load(); crowded != nil && random.IntN(crowdedOneIn) > 0 {
+			b, client = crowded, freshConnections
+		}
 		a := r.drawRequest(b, random)
 		a.ID = fmt.Sprintf("%s%s%d-%d", b.name, check.IDSeparator, i, n)
 		if r.cfg.Features.Versions && a.Route == routeResumable {
@@ -119,6 +123,7 @@
 		ask.Work = abandonedWork
 	}
 	if isStream(a.Route) {
+		ask.Parts = promptParts(a.ID)
 		ask.Prompt, ask.Output = minPrompt+random.IntN(promptJitter), outputTokens
 	}
 	a.Begun = time.Now()
--- a/bench/soak/schedule/schedule.go
+++ b/bench/soak/schedule/schedule.go
@@ -75,6 +75,15 @@
 	// leaves, and then end.
 	EndpointTired   Kind = "endpoint_wants_rest"
 	EndpointParting Kind = "endpoint_says_it_leaves"
+	// PoisonPart is a part of prompts that crashes each endpoint that begins to answer one; the requests
+	// that have it are alike in nothing else.
+	PoisonPart Kind = "poison_part"
+	// EndpointUnframed has an endpoint send answers without a length or chunks, whole ones, or streams
+	// that end within an event.
+	EndpointUnframed    Kind = "endpoint_answers_unframed"
+	EndpointUnframedCut Kind = "endpoint_cuts_unframed"
+	// CallersCrowd has nearly all callers open new connections to one box.
+	CallersCrowd Kind = "callers_crowd_box"
 	// EndpointReleased replaces an endpoint by one of another software version, a later or an
 	// earlier one.
 	EndpointReleased Kind = "endpoint_released"
@@ -149,17 +158,21 @@
 	EndpointMoved:   {target: OnPlace, weight: 1, minDuration: second, jitter: second},
 	EndpointLeaving: {target: OnPlace, weight: 2, minDuration: 9 * second, jitter: 2 * second},
 
-	PoisonRequest:    {weight: 2, minDuration: 10 * second, jitter: 4 * second},
-	EndpointLimited:  {target: OnPlace, weight: 6, minDuration: 8 * second, jitter: 8 * second},
-	EndpointTired:    {target: OnPlace, weight: 4, minDuration: 4 * second, jitter: 8 * second},
-	EndpointParting:  {target: OnPlace, weight: 4, minDuration: 6 * second, jitter: 4 * second},
-	EndpointReleased: {target: OnPlace, weight: 6, minDuration: 4 * second, jitter: 2 * second},
-	TransfersStalled: {weight: 2},
+	PoisonRequest:       {weight: 2, minDuration: 10 * second, jitter: 4 * second},
+	EndpointLimited:     {target: OnPlace, weight: 6, minDuration: 8 * second, jitter: 8 * second},
+	EndpointTired:       {target: OnPlace, weight: 4, minDuration: 4 * second, jitter: 8 * second},
+	EndpointParting:     {target: OnPlace, weight: 4, minDuration: 6 * second, jitter: 4 * second},
+	PoisonPart:          {weight: 3, minDuration: 20 * second, jitter: 4 * second},
+	EndpointUnframed:    {target: OnPlace, weight: 2, minDuration: second, jitter: 4 * second},
+	EndpointUnframedCut: {target: OnPlace, weight: 2, minDuration: second, jitter: 4 * second},
+	CallersCrowd:        {target: OnBox, weight: 4, minDuration: 6 * second, jitter: 4 * second},
+	EndpointReleased:    {target: OnPlace, weight: 6, minDuration: 4 * second, jitter: 2 * second},
+	TransfersStalled:    {weight: 2},
 }
 
 // optional are the kinds that are drawn only if they are asked for. Kinds that were added
 // later are here too, so that a seed still draws the schedule that it drew before.
-var optional = []Kind{ZoneDrained, TransfersStalled, PoisonRequest, EndpointLimited, EndpointTired, EndpointParting, StoreOlder, EndpointsLost, EndpointReleased}
+var optional = []Kind{ZoneDrained, TransfersStalled, PoisonRequest, EndpointLimited, EndpointTired, EndpointParting, StoreOlder, EndpointsLost, EndpointReleased, PoisonPart, EndpointUnframed, EndpointUnframedCut, CallersCrowd}
 
 // ByDefault returns the kinds that are drawn for routed services unless others are asked for:
 // all except those that need an optional feature of a deployment and those that were added
--- a/bench/soak/signals.go
+++ b/bench/soak/signals.go
@@ -122,7 +122,7 @@
 var mannerOf = map[schedule.Kind]standin.AnswerMode{
 	schedule.EndpointSlow: standin.Slow, schedule.EndpointMute: standin.Hanging, schedule.EndpointFull: standin.Full,
 	schedule.EndpointFailing: standin.Failing, schedule.EndpointLost: standin.Lost, schedule.EndpointBroken: standin.Cut,
-	schedule.EndpointTwice: standin.Extra,
+	schedule.EndpointTwice: standin.Extra, schedule.EndpointUnframed: standin.Unframed, schedule.EndpointUnframedCut: standin.UnframedCutInEvent,
 }
 
 // withPlace reserves the place of an event, records the fault and runs do. If another fault has
--- a/bench/soak/site.go
+++ b/bench/soak/site.go
@@ -176,6 +176,9 @@
 	if slices.Contains(r.cfg.Kinds, schedule.PoisonRequest) {
 		cfg.EndsAt = poisonMark
 	}
+	if slices.Contains(r.cfg.Kinds, schedule.PoisonPart) {
+		cfg.EndsAtPart = poisonPart
+	}
 	for _, p := range layout() {
 		link, err := r.net.Listen(proxy.Endpoint, p.Name, r.owners.Of)
 		if err != nil {
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -10,6 +10,7 @@
 	"context"
 	"io"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"runridge.example/runridge/bench/soak/check"
@@ -91,6 +92,8 @@
 	tables   []tableChange
 	result   Result
 	operator *operator
+	// crowded is the box to which most callers open new connections; nil if there is none.
+	crowded atomic.Pointer[box]
 	// active counts the faults that last now.
 	active sync.WaitGroup
 }
--- a/bench/soak/streams.go
+++ b/bench/soak/streams.go
@@ -83,7 +83,7 @@
 func (r *run) sendStreamAttempt(client *http.Client, a check.Answer, first string, last, breakAfter int) check.StreamAttempt {
 	ctx, cancel := context.WithTimeout(context.Background(), maxRequestTime)
 	defer cancel()
-	ask := standin.Ask{Address: r.boxNamed(a.Box).callers.Addr(), Route: a.Route, ID: a.ID, Key: a.Key, Prompt: minPrompt, Output: outputTokens}
+	ask := standin.Ask{Address: r.boxNamed(a.Box).callers.Addr(), Route: a.Route, ID: a.ID, Key: a.Key, Prompt: minPrompt, Output: outputTokens, Parts: promptParts(first)}
 	if last > 0 {
 		ask.LastEvent, ask.Resumes = strconv.Itoa(last), first
 	}
--- a/cmd/runridge-bench/soak.go
+++ b/cmd/runridge-bench/soak.go
@@ -48,6 +48,7 @@
 	Closed      bool     `long:"closed" description:"endpoints announce in their answers that they are leaving or need rest"`
 	Older       bool     `long:"older" description:"the store is restored from older copies"`
 	Versions    bool     `long:"versions" description:"engines of several software versions serve side by side, and callers take streams up at other boxes"`
+	Parts       bool     `long:"parts" description:"requests that share a part of their prompts terminate each endpoint that answers them, endpoints answer without a length or chunks, and most callers turn to one box"`
 	Completions bool     `long:"completions" description:"boxes serve the product's own completions API"`
 	File        string   `long:"file" description:"file of runs, one line of options each, in place of --seed and --seeds"`
 	Jobs        int      `long:"jobs" default:"1" description:"number of concurrent runs"`
@@ -266,6 +267,9 @@
 		if c.Closed {
 			out = append(out, schedule.EndpointTired, schedule.EndpointParting)
 		}
+		if c.Parts {
+			out = append(out, schedule.PoisonPart, schedule.EndpointUnframed, schedule.EndpointUnframedCut, schedule.CallersCrowd)
+		}
 		if c.Versions {
 			out = append(out, schedule.EndpointReleased)
 		}
