The last decode engine of a software version does not turn to prefill

Streams that a version began go on nowhere else; the planner of stages could take its last decode engine away, and all of them would be refused. By reading, with a test that failed before (the fastest decode engine was taken whatever its version).

--- a/state/schedule/stage.go
+++ b/state/schedule/stage.go
@@ -56,6 +56,7 @@
 			Changing: changing,
 			Ready:    !changing && !e.breaker.Ejected(now),
 			TokenNS:  g.view.Engines[i].PrefillNS,
+			Software: e.spec.Software,
 		})
 	}
 	load := g.promptWork.Load(time.Duration(t))
--- a/state/stages/stages.go
+++ b/state/stages/stages.go
@@ -26,6 +26,8 @@
 	Ready bool
 	// TokenNS is the time in which it prefills one token, in nanoseconds.
 	TokenNS float64
+	// Software is the version of its software; empty means unknown.
+	Software string
 }
 
 // Load is the work requested of a group.
@@ -189,11 +191,18 @@
 }
 
 // fastestDecode returns the decode engine that would prefill the fastest among those that may
-// change, or nothing.
+// change, or nothing. The last one of a software version stays, as streams that it began go on nowhere
+// else.
 func fastestDecode(engines []Engine) []string {
+	decodes := make(map[string]int)
+	for _, e := range engines {
+		if !e.Prefill && !e.Changing {
+			decodes[e.Software]++
+		}
+	}
 	best := -1
 	for i, e := range engines {
-		if e.Prefill || !e.Ready {
+		if e.Prefill || !e.Ready || len(decodes) > 1 && decodes[e.Software] == 1 {
 			continue
 		}
 		if best < 0 || e.TokenNS < engines[best].TokenNS {
