--- a/tests/routed/versions_test.go
+++ b/tests/routed/versions_test.go
@@ -87,6 +87,16 @@
 	return out
 }
 
+// beginStreams begins versionedStreams streams at a box.
+func (s *site) beginStreams(b *runningBox) []brokenStream {
+	s.t.Helper()
+	var out []brokenStream
+	for range versionedStreams {
+		out = append(out, s.beginStream(b))
+	}
+	return out
+}
+
 // continueStream sends the next attempt of a stream to a box and disconnects after some events.
 func (s *site) continueStream(b *runningBox, stream *brokenStream) {
 	s.t.Helper()
@@ -183,10 +193,7 @@
 func TestStreamMixesSoftwareVersionsAfterItsBoxHasEnded(t *testing.T) {
 	convey.Convey("Streams whose box has ended go on at other boxes, at the version that began them", t, func() {
 		s := newVersionedSite(t, 3, "v1", "v2")
-		var streams []brokenStream
-		for range versionedStreams {
-			streams = append(streams, s.beginStream(s.boxes[0]))
-		}
+		streams := s.beginStreams(s.boxes[0])
 		s.boxes[0].stop()
 		<-s.boxes[0].done
 		for i := range streams {
@@ -210,10 +217,7 @@
 		t.Run(name, func(t *testing.T) {
 			convey.Convey("Streams of which no box knows anything any more go on only if one version can have begun them", t, func() {
 				s := newVersionedSite(t, 2, c.versions...)
-				var streams []brokenStream
-				for range versionedStreams {
-					streams = append(streams, s.beginStream(s.boxes[0]))
-				}
+				streams := s.beginStreams(s.boxes[0])
 				ended := s.boxes
 				for _, b := range ended {
 					b.stop()
@@ -239,10 +243,7 @@
 func TestStreamGoesOnAlthoughItsSoftwareVersionIsGone(t *testing.T) {
 	convey.Convey("A stream of a version that no engine has any more is refused at once and reaches no engine", t, func() {
 		s := newVersionedSite(t, 2, "v1", "v2")
-		var streams []brokenStream
-		for range versionedStreams {
-			streams = append(streams, s.beginStream(s.boxes[0]))
-		}
+		streams := s.beginStreams(s.boxes[0])
 		for id, e := range s.endpoints {
 			if e.Version == "v1" {
 				s.store.Delete("servers", id)
