A box that forgot another's version after a broken connection learns it again

A connection to a box had been reset, so its version was forgotten; it kept its own link open and did not greet again, and was taken for a build without a version for good: it got no origins of streams, no answers and no tunnels.

A box now greets back over its open link when another one opens a connection to it, and a process that sends a kind of a later version has at least that one. A message of a kind that a peer without a version has sent itself was refused while it was encoded, and took with it what was queued before it; it is sent now.

--- a/protocol/boxwire/boxwire.go
+++ b/protocol/boxwire/boxwire.go
@@ -271,6 +271,11 @@
 	if !v.Reads(m.Kind()) {
 		return buf, fmt.Errorf("%w: kind %s, version %d", ErrUnsupportedKind, m.Kind(), v)
 	}
+	return AppendKnown(buf, m, v)
+}
+
+// AppendKnown is Append for a receiver that is known to read the kind, whatever its version.
+func AppendKnown(buf []byte, m Message, v Version) ([]byte, error) {
 	if p, ok := m.(compressible); ok && v == VersionNone {
 		var err error
 		if m, err = p.uncompressed(); err != nil {
--- a/protocol/boxwire/version.go
+++ b/protocol/boxwire/version.go
@@ -44,6 +44,15 @@
 // Reads reports whether builds of this version read messages of a kind.
 func (v Version) Reads(k Kind) bool { return v >= minVersions[k] }
 
+// ProvenBy returns the version of which a build is at least that sends messages of a kind. The kinds
+// that some builds without a version sent prove none.
+func ProvenBy(k Kind) Version {
+	if v := minVersions[k]; v > VersionLenient {
+		return v
+	}
+	return VersionNone
+}
+
 // Unknown stands for a message of an unknown kind or one that this build cannot decode.
 type Unknown struct {
 	// Code is the kind's number on the wire.
--- a/tests/mutants/streams.go
+++ b/tests/mutants/streams.go
@@ -37,6 +37,10 @@
 		name: "completion_goes_on_anywhere", file: "coordination/dispatch/orders.go", pkg: "./tests/integration", args: only("TestCompletionMixesSoftwareVersions"),
 		old: "if unsuited = !softwareSuits(bound, software); unsuited {", fault: "if unsuited {",
 	},
+	{
+		name: "forgotten_box_never_greets", file: "transport/boxnet/boxnet.go", pkg: "./transport/boxnet", args: only("TestBrokenConnectionLeavesAPeerWithoutVersion"),
+		old: "	n.greetBack(hello)\n", fault: "",
+	},
 	{
 		name: "last_engine_of_a_version_prefills", file: "state/stages/stages.go", pkg: "./state/stages", args: only("TestLastDecodeEngineOfASoftwareVersionPrefills"),
 		old: " || len(decodes) > 1 && decodes[e.Software] == 1", fault: "",
--- a/transport/boxnet/boxnet.go
+++ b/transport/boxnet/boxnet.go
@@ -232,7 +232,7 @@
 		return buf, nil
 	}
 	before := len(buf)
-	buf, err := boxwire.Append(buf, m, version)
+	buf, err := boxwire.AppendKnown(buf, m, version)
 	if err == nil {
 		n.flows.add(m.Kind(), n.distanceTo(to), len(buf)-before)
 	}
@@ -326,6 +326,7 @@
 	from = hello.Box
 	sender := boxwire.Owner{Box: hello.Box, Incarnation: hello.Incarnation}
 	n.versions.recordHello(hello)
+	n.greetBack(hello)
 	for {
 		_ = c.SetReadDeadline(time.Now().Add(readTimeout))
 		m, err := boxwire.Read(r)
@@ -339,6 +340,12 @@
 			n.serveTunnel(c, r, t)
 			return
 		}
+		if h, ok := m.(*boxwire.Hello); ok {
+			if h.Box == from && n.verify(h) {
+				n.versions.recordHello(h)
+			}
+			continue
+		}
 		if u, ok := m.(*boxwire.Unknown); ok {
 			n.skipUnknown(sender, u)
 			continue
--- a/transport/boxnet/hello.go
+++ b/transport/boxnet/hello.go
@@ -14,11 +14,30 @@
 // hello returns the frame that opens a connection to a box. Its proof covers the names of both
 // boxes, so that a hello to one box can't be replayed to another.
 func (n *Net) hello(to string) ([]byte, error) {
-	m := &boxwire.Hello{Box: n.cfg.Box, Incarnation: n.cfg.Incarnation, Version: boxwire.VersionCurrent}
-	m.Proof = n.proof(m, to)
 	// The version of the process that listens there now is unknown before its own hello
 	// arrives, so this one is encoded for the oldest.
-	return boxwire.Append(nil, m, boxwire.VersionNone)
+	return boxwire.Append(nil, n.newHello(to), boxwire.VersionNone)
+}
+
+func (n *Net) newHello(to string) *boxwire.Hello {
+	m := &boxwire.Hello{Box: n.cfg.Box, Incarnation: n.cfg.Incarnation, Version: boxwire.VersionCurrent}
+	m.Proof = n.proof(m, to)
+	return m
+}
+
+// greetBack sends a hello over the open link to a box that has opened a connection. Such a box may have
+// forgotten the version of this one, because a connection to it broke, and would not hear it again
+// while the link stays open. Builds without origins do not expect a hello later on.
+func (n *Net) greetBack(m *boxwire.Hello) {
+	if m.Version < boxwire.VersionOrigins {
+		return
+	}
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if l := n.links[m.Box]; l != nil {
+		// A hello that does not fit into the queue is sent when the next connection opens.
+		_ = l.queue.Offer(n.newHello(m.Box))
+	}
 }
 
 // proof returns the HMAC-SHA256 of a hello to a box under the shared key; nil without a key.
--- a/transport/boxnet/versions.go
+++ b/transport/boxnet/versions.go
@@ -70,7 +70,8 @@
 	p.peers[box] = &peerVersion{incarnation: start}
 }
 
-// recordKind records that a process has sent a message of a kind, so that it can read that kind.
+// recordKind records that a process has sent a message of a kind, so that it can read that kind, and
+// has at least the version that this proves.
 func (p *peerVersions) recordKind(from boxwire.Owner, k boxwire.Kind) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
@@ -78,6 +79,10 @@
 	if known == nil || known.incarnation != from.Incarnation || known.version.Reads(k) {
 		return
 	}
+	if proven := boxwire.ProvenBy(k); proven > boxwire.VersionNone {
+		known.version = max(known.version, proven)
+		return
+	}
 	if known.reads == nil {
 		known.reads = make(map[boxwire.Kind]bool)
 	}
--- a/transport/boxnet/versions_test.go
+++ b/transport/boxnet/versions_test.go
@@ -7,8 +7,10 @@
 	"context"
 	"net"
 	"os"
+	"sync"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/smartystreets/goconvey/convey"
 
@@ -43,6 +45,11 @@
 			p.recordHello(next)
 			p.forget("a", Peer{Incarnation: 2, Version: boxwire.VersionLenient})
 		}, version: boxwire.VersionNone, reads: false},
+		"a process that is known again by what it sends": {events: func(p *peerVersions) {
+			p.recordHello(next)
+			p.forget("a", Peer{Incarnation: 2})
+			p.recordKind(boxwire.Owner{Box: "a", Incarnation: 2}, boxwire.KindOrigin)
+		}, version: boxwire.VersionOrigins, reads: true},
 		"a kind that all builds read, without a version": {events: func(p *peerVersions) { p.recordHello(old); p.recordKind(sender, boxwire.KindPull) }, version: boxwire.VersionNone, reads: false},
 		"no hello yet, but known from membership": {
 			events: func(*peerVersions) {}, member: Peer{Incarnation: 2, Version: boxwire.VersionLenient}, version: boxwire.VersionLenient, reads: true,
@@ -130,3 +137,54 @@
 		})
 	}
 }
+
+func TestBrokenConnectionLeavesAPeerWithoutVersion(t *testing.T) {
+	convey.Convey("Two boxes that know each other learn their versions again after one has forgotten the other's", t, func() {
+		ctx, end := context.WithCancel(context.Background())
+		boxes, addresses := make(map[string]*Net), make(map[string]Peer)
+		var serving sync.WaitGroup
+		for _, name := range []string{"a", "b"} {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			convey.So(err, convey.ShouldBeNil)
+			n := New(ctx, Config{Box: name, Incarnation: 1, Log: log.Discard(), Handler: func(boxwire.Owner, boxwire.Message) {}})
+			boxes[name], addresses[name] = n, Peer{Address: l.Addr().String(), Incarnation: 1}
+			serving.Go(func() { _ = n.Serve(ctx, l) })
+		}
+		defer serving.Wait()
+		defer end()
+		a, b := boxes["a"], boxes["b"]
+		a.SetPeers(map[string]Peer{"b": addresses["b"]})
+		b.SetPeers(map[string]Peer{"a": addresses["a"]})
+		knows := func() bool {
+			v, _ := a.versions.of("b", addresses["b"], boxwire.KindOrigin)
+			return v == boxwire.VersionCurrent
+		}
+		await := func(what string) {
+			for deadline := time.Now().Add(waitTimeout); !knows(); time.Sleep(time.Millisecond) {
+				if time.Now().After(deadline) {
+					t.Fatal(what)
+				}
+			}
+		}
+		b.Send("a", &boxwire.Pull{Have: 1})
+		await("b's first hello")
+		// The connection from a breaks, while that from b stays open.
+		a.forget("b")
+		a.Send("b", &boxwire.Pull{Have: 1})
+		await("b's version is not known again")
+	})
+}
+
+func TestUnreadKindTakesOtherMessagesWithIt(t *testing.T) {
+	convey.Convey("A message of a kind that a peer without a version has sent itself is sent to it, with those before it", t, func() {
+		n := New(t.Context(), Config{Box: "b", Log: log.Discard()})
+		n.versions.recordHello(&boxwire.Hello{Box: "a", Incarnation: 1})
+		n.versions.recordKind(boxwire.Owner{Box: "a", Incarnation: 1}, boxwire.KindSuspects)
+		n.SetPeers(map[string]Peer{"a": {Address: "127.0.0.1:1", Incarnation: 1}})
+		buf, err := n.appendFrame(nil, "a", &boxwire.Pull{Have: 7})
+		convey.So(err, convey.ShouldBeNil)
+		whole, err := n.appendFrame(buf, "a", &boxwire.Suspects{Origin: "b"})
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(len(whole), convey.ShouldBeGreaterThan, len(buf))
+	})
+}
