Streams: one rule tells whether a software version suits

Cause: three places wrote the same rule again (dispatch, the group's ask, the relay's check) and two the same reason, and the directory had a second constant that had to be as long as streams.Keep.

Change: state/streams has Suits and ReasonOtherSoftware, and all of them call it. The relay keeps its own addition: an endpoint of unknown version suits only if no other version serves. The directory uses streams.Keep.

Figures: three copies of the rule -> one, two of the reason -> one, two durations -> one.

--- a/coordination/dispatch/orders.go
+++ b/coordination/dispatch/orders.go
@@ -15,6 +15,7 @@
 	"runridge.example/runridge/coordination/home"
 	"runridge.example/runridge/modules/log"
 	"runridge.example/runridge/state/lifecycle"
+	"runridge.example/runridge/state/streams"
 	"runridge.example/runridge/state/table"
 )
 
@@ -190,7 +191,7 @@
 		if !begun {
 			d.dispatcher.software.note(engine.Name, t.Software)
 		}
-		if unsuited = !softwareSuits(bound, software); unsuited {
+		if unsuited = !streams.Suits(bound, software); unsuited {
 			return false
 		}
 		if !begun {
--- a/coordination/dispatch/paced.go
+++ b/coordination/dispatch/paced.go
@@ -8,6 +8,7 @@
 
 	"runridge.example/runridge/modules/log"
 	"runridge.example/runridge/state/lifecycle"
+	"runridge.example/runridge/state/streams"
 )
 
 // reasonNotCounted is why an order is not sent if no home has counted it for its engine.
@@ -35,8 +36,8 @@
 // first order of an attempt counts toward the limits, so it records that the decode has
 // started; later orders of the same attempt are allowed.
 func (d *driver) withholdDecode(engine string) string {
-	if e, known := d.dispatcher.cfg.Tables.Table().Endpoint(engine); known && !softwareSuits(d.software, e.Software) {
-		return reasonOtherSoftware
+	if e, known := d.dispatcher.cfg.Tables.Table().Endpoint(engine); known && !streams.Suits(d.software, e.Software) {
+		return streams.ReasonOtherSoftware
 	}
 	if reason := d.dispatcher.cfg.Notices.Availability(engine).Reason(); reason != "" && !d.decodeStarted {
 		return reason
--- a/coordination/dispatch/software.go
+++ b/coordination/dispatch/software.go
@@ -9,20 +9,12 @@
 
 	"runridge.example/runridge/modules/log"
 	"runridge.example/runridge/state/lifecycle"
+	"runridge.example/runridge/state/streams"
 )
 
 // Engines of several software versions may serve side by side. What two versions write does not fit
 // together, so an answer goes on only at the version that began it.
 
-// reasonOtherSoftware is why an order to an engine of another software version is withheld.
-const reasonOtherSoftware = "other_software_version"
-
-// softwareSuits reports whether an answer that is bound to a version may go on at another one; empty
-// stands for an unknown version.
-func softwareSuits(bound, software string) bool {
-	return bound == "" || software == "" || bound == software
-}
-
 // softwareVersions has the software version that each engine last announced. The table may not name
 // it, and an engine may restart with another one.
 type softwareVersions struct {
@@ -52,7 +44,7 @@
 	defer s.mutex.Unlock()
 	var out []string
 	for engine, software := range s.byName {
-		if software != bound {
+		if !streams.Suits(bound, software) {
 			out = append(out, engine)
 		}
 	}
@@ -75,7 +67,7 @@
 		log.FieldRequest: d.call.ID.String(),
 		log.FieldAttempt: number,
 		log.FieldEngine:  engine,
-		log.FieldReason:  reasonOtherSoftware,
+		log.FieldReason:  streams.ReasonOtherSoftware,
 	}).Info("order_failed")
 	d.call.post(failureEvent{
 		withheld: true,
--- a/coordination/relay/exchange.go
+++ b/coordination/relay/exchange.go
@@ -13,6 +13,7 @@
 	"runridge.example/runridge/modules/log"
 	"runridge.example/runridge/state/lifecycle"
 	"runridge.example/runridge/state/schedule"
+	records "runridge.example/runridge/state/streams"
 )
 
 // allowArrival reports whether the request may be sent to an endpoint once more. The first
@@ -42,7 +43,7 @@
 func (h *handler) execute(ctx context.Context, a schedule.Ask, plan lifecycle.Plan) result {
 	if w, known := h.relay.cfg.Directory.Directory().Status(plan.Decode); known && !h.softwareSuits(w) {
 		// Homes of earlier builds don't know of versions.
-		return result{kind: unsent, endpoint: plan.Decode, reason: reasonOtherSoftware}
+		return result{kind: unsent, endpoint: plan.Decode, reason: records.ReasonOtherSoftware}
 	}
 	if plan.Prefill == "" || plan.Mode == lifecycle.Recompute {
 		return h.send(ctx, plan.Decode, "")
@@ -202,7 +203,7 @@
 	}
 	w, _ := h.relay.cfg.Directory.Directory().Status(id)
 	if !h.softwareSuits(w) {
-		return result{kind: unsent, endpoint: id, reason: reasonOtherSoftware}
+		return result{kind: unsent, endpoint: id, reason: records.ReasonOtherSoftware}
 	}
 	if !h.mayDecode(id) {
 		return result{kind: unsent, endpoint: id, reason: reasonNotCounted}
--- a/coordination/relay/software.go
+++ b/coordination/relay/software.go
@@ -35,8 +35,6 @@
 	reasonOriginUnknown = "stream_origin_unknown"
 	// reasonSoftwareGone: no endpoint of the version that began it is left.
 	reasonSoftwareGone = "software_version_gone"
-	// reasonOtherSoftware: the endpoint of the plan has another version.
-	reasonOtherSoftware = "other_software_version"
 )
 
 const (
@@ -117,11 +115,11 @@
 // softwareSuits reports whether the stream may go on at an endpoint. One whose version is not known
 // suits if no other version than that of the stream serves.
 func (h *handler) softwareSuits(w directory.Status) bool {
-	if h.software == "" || w.Version == h.software {
-		return true
+	if h.software == "" || w.Version != "" {
+		return records.Suits(h.software, w.Version)
 	}
-	return w.Version == "" && !slices.ContainsFunc(h.relay.cfg.Directory.Directory().Statuses(w.Service), func(o directory.Status) bool {
-		return !o.Gone && o.Version != "" && o.Version != h.software
+	return !slices.ContainsFunc(h.relay.cfg.Directory.Directory().Statuses(w.Service), func(o directory.Status) bool {
+		return !o.Gone && !records.Suits(h.software, o.Version)
 	})
 }
 
--- a/coordination/relay/software_test.go
+++ b/coordination/relay/software_test.go
@@ -13,6 +13,7 @@
 	"runridge.example/runridge/state/lifecycle"
 	"runridge.example/runridge/state/locality"
 	"runridge.example/runridge/state/schedule"
+	records "runridge.example/runridge/state/streams"
 	"runridge.example/runridge/state/table"
 )
 
@@ -51,7 +52,7 @@
 			if sent := endpoints.sends > 0; sent != c.sent {
 				t.Errorf("sent: %v, want %v (%+v)", sent, c.sent, res)
 			}
-			if !c.sent && (res.reason != reasonOtherSoftware || res.blamed() != "") {
+			if !c.sent && (res.reason != records.ReasonOtherSoftware || res.blamed() != "") {
 				t.Errorf("result %+v blames %q", res, res.blamed())
 			}
 		})
--- a/coordination/relay/where.go
+++ b/coordination/relay/where.go
@@ -12,6 +12,7 @@
 	"runridge.example/runridge/state/group"
 	"runridge.example/runridge/state/lifecycle"
 	"runridge.example/runridge/state/locality"
+	records "runridge.example/runridge/state/streams"
 )
 
 // Reasons why a request is not sent to an endpoint, or to any.
@@ -24,7 +25,7 @@
 // isWithheld reports whether the reason is one for which this box holds back a request from an
 // endpoint that has not failed and serves other requests.
 func isWithheld(reason string) bool {
-	return reason == notice.ReasonLeaving || reason == notice.ReasonResting || reason == reasonNotCounted || reason == reasonOtherSoftware
+	return reason == notice.ReasonLeaving || reason == notice.ReasonResting || reason == reasonNotCounted || reason == records.ReasonOtherSoftware
 }
 
 // resolveRegions sets the regions in which the request may be served, as permitted by its route
--- a/state/directory/version.go
+++ b/state/directory/version.go
@@ -7,13 +7,12 @@
 	"maps"
 	"slices"
 	"time"
-)
 
-// VersionMemory is how long the directory remembers a software version after its last endpoint.
-const VersionMemory = 2 * time.Minute
+	"runridge.example/runridge/state/streams"
+)
 
 // Versions lists the software versions, sorted, that endpoints of a service have or had within the
-// given time, at most VersionMemory. It leaves out unknown ones.
+// given time, at most streams.Keep. It leaves out unknown ones.
 func (d Directory) Versions(service string, now time.Time, within time.Duration) []string {
 	found := make(map[string]bool)
 	d.each(func(w *Status) {
@@ -45,7 +44,7 @@
 			ended = make(map[string]map[string]time.Time, len(d.endedVersions)+1)
 			for service, versions := range d.endedVersions {
 				kept := maps.Clone(versions)
-				maps.DeleteFunc(kept, func(_ string, at time.Time) bool { return now.Sub(at) > VersionMemory })
+				maps.DeleteFunc(kept, func(_ string, at time.Time) bool { return now.Sub(at) > streams.Keep })
 				ended[service] = kept
 			}
 		}
--- a/state/schedule/types.go
+++ b/state/schedule/types.go
@@ -14,6 +14,7 @@
 	"runridge.example/runridge/state/health"
 	"runridge.example/runridge/state/lifecycle"
 	"runridge.example/runridge/state/pace"
+	"runridge.example/runridge/state/streams"
 )
 
 // Policy selects the scheduler or one of the baselines that it is compared with, and disables
@@ -185,7 +186,7 @@
 // mayDecodeOn reports whether an engine's software version suits the ask. If the group does not know
 // the version, the asking box decides.
 func (a Ask) mayDecodeOn(e EngineSpec) bool {
-	return a.Software == "" || e.Software == "" || a.Software == e.Software
+	return streams.Suits(a.Software, e.Software)
 }
 
 // excludes reports whether the engine must not be chosen for the ask.
--- a/state/streams/streams.go
+++ b/state/streams/streams.go
@@ -19,6 +19,15 @@
 // KeyOf returns the key of a stream.
 func KeyOf(service, attempt string) Key { return Key(xxhash.Sum64String(service + "\x00" + attempt)) }
 
+// ReasonOtherSoftware is why a stream is kept from an endpoint of another software version.
+const ReasonOtherSoftware = "other_software_version"
+
+// Suits reports whether a stream that is bound to a software version may go on at another one; empty
+// stands for an unknown version.
+func Suits(bound, software string) bool {
+	return bound == "" || software == "" || bound == software
+}
+
 // Origin is the software version that began a stream.
 type Origin struct {
 	Key      Key
