Streams: asking for an origin is a function of its own; dead code goes

Cause: Find looked the stream up, asked, and decided in 60 lines with two contexts. Checks for a nil Keeper could never hold, since the relay has its own, Len was called by nobody, and the receiver of the messages listed its kinds twice, unlike the receivers beside it.

Change: ask holds the questions; Find decides. The rest goes, and receiveOrigins has the form of receiveDrained: without routed services a message falls through to the commands, which know nothing of it either.

Conclusion: behaviour as before. Lint clean; tests of coordination/streams and box pass.

--- a/box/streams.go
+++ b/box/streams.go
@@ -77,13 +77,8 @@
 // receiveOrigins handles a message about the software versions that began streams and reports whether
 // it was one.
 func (b *Box) receiveOrigins(from string, m boxwire.Message) bool {
-	switch m.(type) {
-	case *boxwire.Origin, *boxwire.OriginQuestion, *boxwire.OriginAnswer:
-	default:
-		return false
-	}
 	if b.routed == nil {
-		return true
+		return false
 	}
 	switch m := m.(type) {
 	case *boxwire.Origin:
@@ -92,6 +87,8 @@
 		b.routed.origins.Answer(from, m.Question())
 	case *boxwire.OriginAnswer:
 		b.routed.origins.Answered(m.Answer())
+	default:
+		return false
 	}
 	return true
 }
--- a/coordination/streams/streams.go
+++ b/coordination/streams/streams.go
@@ -117,7 +117,7 @@
 // Begin records the version of the endpoint that a stream is sent to, here and on two other boxes.
 // It is called before the caller can receive the first event.
 func (k *Keeper) Begin(service, attempt, software string) {
-	if k == nil || attempt == "" || software == "" {
+	if attempt == "" || software == "" {
 		return
 	}
 	o := streams.Origin{Key: streams.KeyOf(service, attempt), Software: software}
@@ -198,9 +198,6 @@
 // Find returns the version that began the stream whose first event came with the given attempt,
 // at most horizon ago. An empty attempt stands for a caller that names none.
 func (k *Keeper) Find(ctx context.Context, service, attempt string, horizon time.Duration) Finding {
-	if k == nil {
-		return Finding{Source: Sole}
-	}
 	q := Question{Service: service, Horizon: min(horizon, streams.Keep)}
 	if attempt != "" {
 		q.Key = streams.KeyOf(service, attempt)
@@ -209,16 +206,31 @@
 		}
 	}
 	k.awaitJoined(ctx)
-	views := []streams.View{k.cfg.View(service, q.Horizon)}
-	found := Finding{Source: Unknown}
+	found, views := k.ask(ctx, q)
+	if found.Source == Recorded || found.Answered == 0 && !k.cfg.Current() {
+		return found
+	}
+	software, only := streams.Only(views...)
+	if !only && !slices.ContainsFunc(views, func(v streams.View) bool { return v.Complete }) {
+		software, only = streams.Only(append(views, k.recorded(ctx, service))...)
+	}
+	if only {
+		found.Source, found.Software = Sole, software
+	}
+	return found
+}
+
+// ask asks the boxes that may know a stream until one does, or their views and that of this box leave
+// only one version, or the time is over. It returns the views, unless a box knows the stream.
+func (k *Keeper) ask(ctx context.Context, q Question) (Finding, []streams.View) {
+	views := []streams.View{k.cfg.View(q.Service, q.Horizon)}
 	boxes, timeout := k.holders(q.Key)
 	received := make(chan Answer, len(boxes))
 	pending := k.register(len(boxes), received)
 	defer k.stopWaiting(pending)
-	outer := ctx
-	ctx, cancel := context.WithTimeout(outer, timeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	found.Asked = len(boxes)
+	found := Finding{Source: Unknown, Asked: len(boxes)}
 	for found.Answered < found.Asked && ctx.Err() == nil {
 		for i, box := range boxes {
 			if k.isWaiting(pending[i]) {
@@ -231,7 +243,7 @@
 		for _, a := range answers {
 			if a.Known {
 				found.Source, found.Software = Recorded, a.Software
-				return found
+				return found, nil
 			}
 			views = append(views, a.View)
 		}
@@ -239,17 +251,7 @@
 			break
 		}
 	}
-	if found.Answered == 0 && !k.cfg.Current() {
-		return found
-	}
-	software, only := streams.Only(views...)
-	if !only && !slices.ContainsFunc(views, func(v streams.View) bool { return v.Complete }) {
-		software, only = streams.Only(append(views, k.recorded(outer, service))...)
-	}
-	if only {
-		found.Source, found.Software = Sole, software
-	}
-	return found
+	return found, views
 }
 
 // receive returns the answers that arrive within askInterval, at most limit of them. It ends with one
@@ -324,10 +326,3 @@
 		delete(k.waiting, sequence)
 	}
 }
-
-// Len returns the number of streams whose origin this box knows.
-func (k *Keeper) Len() int {
-	k.mutex.Lock()
-	defer k.mutex.Unlock()
-	return k.ledger.Len()
-}
