Poison: one place tells whether an answer proves an endpoint sound

Change: noteAnswered, Suspect.uncleared, one look for suspects, and the comment says what the constant is.

Figures: three copies -> one; two looks a whole answer -> one. Conclusion: behaviour as before. Lint clean; the tests of state/poison, coordination/quarantine, coordination/relay, tests/mutants and those of tests/routed for poison requests, parts and unframed answers pass.

--- a/coordination/quarantine/quarantine.go
+++ b/coordination/quarantine/quarantine.go
@@ -170,9 +170,6 @@
 // answered records that an endpoint answers requests with these fingerprints: a whole one, or parts of
 // prompts.
 func (k *Keeper) answered(fingerprints ...poison.Fingerprint) {
-	if !k.anySuspects() {
-		return
-	}
 	k.publish(k.update("answer", func(now time.Time, l poison.Ledger) (poison.Ledger, []poison.Suspect) {
 		var news []poison.Suspect
 		for _, f := range fingerprints {
--- a/coordination/quarantine/request.go
+++ b/coordination/quarantine/request.go
@@ -93,5 +93,7 @@
 		return
 	}
 	r.k.noteSound(r.Parts())
-	r.k.answered(r.Parts()...)
+	if r.k.anySuspects() {
+		r.k.answered(r.Parts()...)
+	}
 }
--- a/coordination/relay/answer.go
+++ b/coordination/relay/answer.go
@@ -44,9 +44,7 @@
 	case err != nil:
 		return h.noteBreak(ctx, err, result{kind: failed, endpoint: id, reason: "answer_cut"})
 	}
-	if !a.Unframed {
-		h.suspect().Answered()
-	}
+	h.noteAnswered(a)
 	b := &bufferedAnswer{answer: a, body: body}
 	if a.Status >= 500 {
 		h.fallback = b
@@ -102,9 +100,7 @@
 func (h *handler) finishLong(ctx context.Context, id string, a *Answer, err error) result {
 	switch {
 	case errors.Is(err, io.EOF):
-		if !a.Unframed {
-			h.suspect().Answered()
-		}
+		h.noteAnswered(a)
 		if err := h.caller.End(); err != nil {
 			return h.callerFailed(err)
 		}
@@ -208,6 +204,14 @@
 	return h.write(fresh)
 }
 
+// noteAnswered records that an endpoint has answered the request in full, if the end of the answer
+// proves that.
+func (h *handler) noteAnswered(a *Answer) {
+	if !a.Unframed {
+		h.suspect().Answered()
+	}
+}
+
 // finishStream completes the answer after the stream has ended; rest is the data after the last
 // complete event.
 func (h *handler) finishStream(ctx context.Context, id string, a *Answer, rest []byte) result {
@@ -222,9 +226,7 @@
 			return h.callerFailed(err)
 		}
 	}
-	if !a.Unframed {
-		h.suspect().Answered()
-	}
+	h.noteAnswered(a)
 	if err := h.caller.End(); err != nil {
 		return h.callerFailed(err)
 	}
--- a/state/poison/block.go
+++ b/state/poison/block.go
@@ -10,10 +10,7 @@
 )
 
 // endsToBlock is the number of endpoints that a request, or requests with a part in common, must end
-// to be kept from all others. In simulations of ten seconds with some 330 other requests
-// (BenchmarkEndsToBlock), three misclassifies none of the others; if one more endpoint per second ends
-// for other reasons, it misclassifies one. Two would misclassify five, and four would cost one more
-// endpoint.
+// to be kept from all others.
 const endsToBlock = 3
 
 // group is what a request must have to be kept from all endpoints: the fingerprint of one request, or
@@ -73,8 +70,8 @@
 // lastEnd returns when the last end that counts against a suspect came.
 func (s Suspect) lastEnd() time.Time {
 	var last time.Time
-	for _, e := range s.Ends {
-		if !e.Cleared && e.At.After(last) {
+	for _, e := range s.uncleared() {
+		if e.At.After(last) {
 			last = e.At
 		}
 	}
@@ -86,13 +83,12 @@
 	if s.Fingerprint == o.Fingerprint || !s.Fingerprint.IsPart() || !o.Fingerprint.IsPart() {
 		return false
 	}
-	counts := func(e End) bool { return !e.Cleared }
-	return slices.EqualFunc(filter(s.Ends, counts), filter(o.Ends, counts), func(a, b End) bool { return a.same(b) && a.Of == b.Of })
+	return slices.EqualFunc(s.uncleared(), o.uncleared(), func(a, b End) bool { return a.same(b) && a.Of == b.Of })
 }
 
-// filter returns the ends that a condition holds for.
-func filter(ends []End, holds func(End) bool) []End {
-	return slices.DeleteFunc(slices.Clone(ends), func(e End) bool { return !holds(e) })
+// uncleared returns the ends that count against a suspect.
+func (s Suspect) uncleared() []End {
+	return slices.DeleteFunc(slices.Clone(s.Ends), func(e End) bool { return e.Cleared })
 }
 
 // evidence sums up what speaks against a suspect.
