Soak: releases and leaving endpoints share their steps; one type counts shares

Change: withPlace, endEndpoint and recordLeaving; check.Share, which the check of boxes without links now uses too; the box is passed on.

Figures: no check, bound or message changes.

--- a/bench/soak/check/crowd.go
+++ b/bench/soak/check/crowd.go
@@ -36,12 +36,12 @@
 		if v.anyFault(c.From.Add(-crowdBefore), c.To) {
 			continue
 		}
-		before, askedBefore := v.servedShare("", c.From.Add(-crowdBefore), c.From)
-		during, asked := v.servedShare(c.Box, begin, c.To)
-		if min(askedBefore, asked) < minCrowdRequests {
+		before, during := v.servedShare("", c.From.Add(-crowdBefore), c.From), v.servedShare(c.Box, begin, c.To)
+		if min(before.Asked, during.Asked) < minCrowdRequests {
 			continue
 		}
-		v.report.Count("served_at_crowded_box", during >= minCrowdServed*before, "%s: %.2f of %d, %.2f of %d before", c.Box, during, asked, before, askedBefore)
+		v.report.Count("served_at_crowded_box", during.Ratio() >= minCrowdServed*before.Ratio(), "%s: %.2f of %d, %.2f of %d before",
+			c.Box, during.Ratio(), during.Asked, before.Ratio(), before.Asked)
 	}
 }
 
@@ -50,19 +50,16 @@
 	return slices.ContainsFunc(v.Faults, func(f Fault) bool { return f.Kind != FaultCrowd && f.Overlaps(from, to) })
 }
 
-// servedShare returns which share of the requests was answered that a box, or any if it is empty, read
-// in a time, and their number. Requests refused for their key or quota don't count.
-func (v *verifier) servedShare(box string, from, to time.Time) (share float64, asked int) {
-	served := 0
+// servedShare counts the requests that a box, or any if it is empty, read in a time. Requests refused
+// for their key or quota don't count.
+func (v *verifier) servedShare(box string, from, to time.Time) Share {
+	var out Share
 	for _, a := range v.Answers {
 		counts := a.Status != 0 && a.Status != http.StatusTooManyRequests && a.Status != http.StatusUnauthorized
 		if !counts || a.CallerLeft || a.Poison != "" || box != "" && a.Box != box || a.Begun.Before(from) || a.Begun.After(to) {
 			continue
 		}
-		asked++
-		if a.Answered() {
-			served++
-		}
+		out.Add(a.Answered())
 	}
-	return float64(served) / float64(max(asked, 1)), asked
+	return out
 }
--- a/bench/soak/check/streams.go
+++ b/bench/soak/check/streams.go
@@ -45,12 +45,12 @@
 // checkStreams checks that no stream holds events of two software versions, and that streams which
 // callers take up go on about as often as new ones begin.
 func (v *verifier) checkStreams() {
-	var fresh, taken, begun, wentOn int
+	var fresh, taken Share
 	for _, s := range v.Streams {
 		var versions []string
 		for _, a := range s.Attempts {
 			if v.inTouch(a) {
-				v.countAttempt(a, versions, &fresh, &begun, &taken, &wentOn)
+				v.countAttempt(a, versions, &fresh, &taken)
 			}
 			versions = append(versions, a.Versions...)
 		}
@@ -59,26 +59,20 @@
 			v.report.Count("one_software_version", len(versions) == 1, "%s, in %d attempts: %v", s.Attempts[0].ID, len(s.Attempts), versions)
 		}
 	}
-	if taken < minTakenUp || fresh == 0 {
+	if taken.Asked < minTakenUp || fresh.Asked == 0 {
 		return
 	}
-	share := float64(wentOn) / float64(taken)
-	v.report.Count("taken_up_go_on", share >= minGoOn*float64(begun)/float64(fresh), "%d of %d that were taken up went on, %d of %d new ones began", wentOn, taken, begun, fresh)
+	v.report.Count("taken_up_go_on", taken.Ratio() >= minGoOn*fresh.Ratio(), "%d of %d that were taken up went on, %d of %d new ones began",
+		taken.Answered, taken.Asked, fresh.Answered, fresh.Asked)
 }
 
 // countAttempt counts an attempt at a box in touch; versions are those of the events before.
-func (v *verifier) countAttempt(a StreamAttempt, versions []string, fresh, begun, taken, wentOn *int) {
+func (v *verifier) countAttempt(a StreamAttempt, versions []string, fresh, taken *Share) {
 	switch {
 	case !a.TakesUp:
-		*fresh++
-		if a.Events > 0 {
-			*begun++
-		}
+		fresh.Add(a.Events > 0)
 	case len(versions) > 0 && v.serving(versions[0], a.Begun.Add(-v.bounds.Contact), a.Ended) >= minServing:
-		*taken++
-		if a.Status == http.StatusOK && a.Events > 0 {
-			*wentOn++
-		}
+		taken.Add(a.Status == http.StatusOK && a.Events > 0)
 	}
 }
 
--- a/bench/soak/load.go
+++ b/bench/soak/load.go
@@ -52,7 +52,7 @@
 		a := r.drawRequest(b, random)
 		a.ID = fmt.Sprintf("%s%s%d-%d", b.name, check.IDSeparator, i, n)
 		if r.cfg.Features.Versions && a.Route == routeResumable {
-			r.runStream(client, random, a)
+			r.runStream(client, b, random, a)
 		} else {
 			r.sendRequest(client, b, random, a)
 		}
--- a/bench/soak/signals.go
+++ b/bench/soak/signals.go
@@ -196,13 +196,27 @@
 		var id string
 		_ = r.site.call("Leave", standin.Act{Place: p.Name, On: true}, &id)
 		sleepUntil(ctx, time.Now().Add(e.For-e.For/storeLeaveFraction))
-		_ = r.site.call("Crash", standin.Act{Place: p.Name}, &id)
-		p.link.SetTarget("")
-		_ = r.site.call("Bury", id, &standin.None{})
+		r.endEndpoint(p, id)
 		r.startEndpoint(p, "")
 	})
 }
 
+// endEndpoint ends the endpoint at a place, whose id is given, and removes its entry from the store.
+func (r *run) endEndpoint(p *endpointPlace, id string) {
+	_ = r.site.call("Crash", standin.Act{Place: p.Name}, &id)
+	p.link.SetTarget("")
+	_ = r.site.call("Bury", id, &standin.None{})
+}
+
+// recordLeaving records that an endpoint is marked as leaving in the store from now on, and returns the
+// index of the record.
+func (r *run) recordLeaving(id string) int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.record.Leaving = append(r.record.Leaving, check.Change{Target: id, At: time.Now()})
+	return len(r.record.Leaving) - 1
+}
+
 // leaveEndpoint has an endpoint mark itself as leaving in the store and revert that when the
 // event ends.
 func (r *run) leaveEndpoint(ctx context.Context, e schedule.Event) {
@@ -217,10 +231,7 @@
 		r.skip()
 		return
 	}
-	r.mutex.Lock()
-	i := len(r.record.Leaving)
-	r.record.Leaving = append(r.record.Leaving, check.Change{Target: id, At: time.Now()})
-	r.mutex.Unlock()
+	i := r.recordLeaving(id)
 	sleepUntil(ctx, time.Now().Add(e.For))
 	r.mutex.Lock()
 	r.record.Leaving[i].RevertedAt = time.Now()
--- a/bench/soak/streams.go
+++ b/bench/soak/streams.go
@@ -51,19 +51,19 @@
 func withoutVersions(body string) string { return versionPattern.ReplaceAllString(body, "\n") }
 
 // runStream begins a stream and takes it up at other boxes when it breaks off.
-func (r *run) runStream(client *http.Client, random *rand.Rand, a check.Answer) {
+func (r *run) runStream(client *http.Client, b *box, random *rand.Rand, a check.Answer) {
 	stream := check.Stream{}
 	id, last := a.ID, 0
 	for try := range 1 + maxTakeUps {
 		if try > 0 {
-			b := r.boxes[random.IntN(len(r.boxes))]
+			b = r.boxes[random.IntN(len(r.boxes))]
 			a.Box, a.ID = b.name, fmt.Sprintf("%s%s%s-%d", b.name, check.IDSeparator, strings.ReplaceAll(id, check.IDSeparator, "_"), try)
 		}
 		breakAfter := toTheEnd
 		if left := streamEvents - last; left > 1 && random.IntN(breakOneIn) == 0 {
 			breakAfter = 1 + random.IntN(left-1)
 		}
-		attempt := r.sendStreamAttempt(client, a, id, last, breakAfter)
+		attempt := r.sendStreamAttempt(client, b, a, id, last, breakAfter)
 		stream.Attempts = append(stream.Attempts, attempt)
 		last += attempt.Events
 		if attempt.Status != http.StatusOK || last >= streamEvents || last == 0 {
@@ -80,10 +80,10 @@
 
 // sendStreamAttempt sends one attempt of a stream, and disconnects after some events. The stream began
 // with the attempt first, and last is the event after which it is taken up; 0 is none.
-func (r *run) sendStreamAttempt(client *http.Client, a check.Answer, first string, last, breakAfter int) check.StreamAttempt {
+func (r *run) sendStreamAttempt(client *http.Client, b *box, a check.Answer, first string, last, breakAfter int) check.StreamAttempt {
 	ctx, cancel := context.WithTimeout(context.Background(), maxRequestTime)
 	defer cancel()
-	ask := standin.Ask{Address: r.boxNamed(a.Box).callers.Addr(), Route: a.Route, ID: a.ID, Key: a.Key, Prompt: minPrompt, Output: outputTokens, Parts: promptParts(first)}
+	ask := standin.Ask{Address: b.callers.Addr(), Route: a.Route, ID: a.ID, Key: a.Key, Prompt: minPrompt, Output: outputTokens, Parts: promptParts(first)}
 	if last > 0 {
 		ask.LastEvent, ask.Resumes = strconv.Itoa(last), first
 	}
@@ -146,16 +146,6 @@
 	}
 }
 
-// boxNamed returns the box with a name and panics if there is none.
-func (r *run) boxNamed(name string) *box {
-	for _, b := range r.boxes {
-		if b.name == name {
-			return b
-		}
-	}
-	panic("no box " + name)
-}
-
 // noteServing records that an engine of a software version serves at a place from now on.
 func (r *run) noteServing(place, version string) {
 	r.mutex.Lock()
@@ -177,28 +167,19 @@
 // releaseEndpoint replaces the endpoint at a place by one of another software version: the old one
 // leaves, ends, and the new one starts.
 func (r *run) releaseEndpoint(ctx context.Context, e schedule.Event) {
-	p := r.places[e.Place]
-	release, ok := r.reserve(p.reserved)
-	if !ok {
-		return
-	}
-	defer release()
-	defer r.recordFault(check.Fault{Kind: string(e.Kind), Place: p.Name})()
-	begin := time.Now()
-	var id string
-	_ = r.site.call("Leave", standin.Act{Place: p.Name, On: true}, &id)
-	r.noteServingEnded(p.Name)
-	r.mutex.Lock()
-	r.record.Leaving = append(r.record.Leaving, check.Change{Target: id, At: time.Now()})
-	r.mutex.Unlock()
-	sleepUntil(ctx, begin.Add(time.Duration(releaseOverlap*float64(e.For))))
-	_ = r.site.call("Crash", standin.Act{Place: p.Name}, &id)
-	p.link.SetTarget("")
-	_ = r.site.call("Bury", id, &standin.None{})
-	sleepUntil(ctx, begin.Add(e.For))
-	version := ""
-	if r.cfg.Features.Versions && p.Stage == "decode" {
-		version = softwareVersions[e.Draw%uint64(len(softwareVersions))]
-	}
-	r.startEndpointOf(p, standin.Act{Place: p.Name, Version: version})
+	r.withPlace(e, func(p *endpointPlace) {
+		begin := time.Now()
+		var id string
+		_ = r.site.call("Leave", standin.Act{Place: p.Name, On: true}, &id)
+		r.noteServingEnded(p.Name)
+		r.recordLeaving(id)
+		sleepUntil(ctx, begin.Add(time.Duration(releaseOverlap*float64(e.For))))
+		r.endEndpoint(p, id)
+		sleepUntil(ctx, begin.Add(e.For))
+		version := ""
+		if r.cfg.Features.Versions && p.Stage == "decode" {
+			version = softwareVersions[e.Draw%uint64(len(softwareVersions))]
+		}
+		r.startEndpointOf(p, standin.Act{Place: p.Name, Version: version})
+	})
 }
--- a/bench/soak/unlinked.go
+++ b/bench/soak/unlinked.go
@@ -19,11 +19,6 @@
 // compared. It is below minRequests, since callers who wait for their timeout send few.
 const minUnlinkedRequests = 11
 
-// share counts requests and those of them that were answered.
-type share struct{ asked, answered int }
-
-func (s share) ratio() float64 { return float64(s.answered) / float64(max(s.asked, 1)) }
-
 // checkUnlinked compares the boxes that lost their links to endpoints with those that kept them.
 func (r *run) checkUnlinked() {
 	for i, f := range r.record.Faults {
@@ -32,21 +27,21 @@
 			continue
 		}
 		without, with := r.sharesOf(i, from)
-		if without.asked < minUnlinkedRequests || with.asked < minRequests {
+		if without.Asked < minUnlinkedRequests || with.Asked < minRequests {
 			continue
 		}
-		r.report.Count("served_without_links", without.ratio() >= minServedRatio*with.ratio(), "%v from %s to %s: %d of %d, the others %d of %d",
-			f.Unlinked, from.Format(check.TimeFormat), f.To.Format(check.TimeFormat), without.answered, without.asked, with.answered, with.asked)
+		r.report.Count("served_without_links", without.Ratio() >= minServedRatio*with.Ratio(), "%v from %s to %s: %d of %d, the others %d of %d",
+			f.Unlinked, from.Format(check.TimeFormat), f.To.Format(check.TimeFormat), without.Answered, without.Asked, with.Answered, with.Asked)
 		if !r.overlapsOtherFault(i) {
-			r.report.Count("others_served_as_before", with.ratio() >= minGoodput, "while %v have lost their links: %d of %d",
-				f.Unlinked, with.answered, with.asked)
+			r.report.Count("others_served_as_before", with.Ratio() >= minGoodput, "while %v have lost their links: %d of %d",
+				f.Unlinked, with.Answered, with.Asked)
 		}
 	}
 }
 
 // sharesOf counts the requests at boxes without and with links from a time to the end of the fault
 // at an index. Requests at boxes that another fault affects are left out.
-func (r *run) sharesOf(index int, from time.Time) (without, with share) {
+func (r *run) sharesOf(index int, from time.Time) (without, with check.Share) {
 	f := r.record.Faults[index]
 	for _, a := range r.record.Answers {
 		if a.Begun.Before(from) || a.Begun.After(f.To) || !countsForGoodput(a) || r.boxDisturbed(index, a) {
@@ -56,10 +51,7 @@
 		if slices.Contains(f.Unlinked, a.Box) {
 			s = &without
 		}
-		s.asked++
-		if a.Answered() {
-			s.answered++
-		}
+		s.Add(a.Answered())
 	}
 	return without, with
 }
