--- a/state/schedule/software_test.go
+++ b/state/schedule/software_test.go
@@ -4,6 +4,7 @@
 package schedule
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -49,16 +50,12 @@
 					}
 				}
 			}
-			want := append([]string{}, c.decode...)
+			want := c.decode
 			if c.reason != "" {
 				want = []string{string(c.reason)}
 			}
 			for decided := range seen {
-				found := false
-				for _, w := range want {
-					found = found || w == decided
-				}
-				if !found {
+				if !slices.Contains(want, decided) {
 					t.Errorf("decided %s, want one of %v", decided, want)
 				}
 			}
--- a/tests/routed/versions_test.go
+++ b/tests/routed/versions_test.go
@@ -146,6 +146,16 @@
 	return a
 }
 
+// finishWhole takes a stream up at a box and checks that it goes on to its end at the version that
+// began it.
+func (s *site) finishWhole(b *runningBox, stream *brokenStream) {
+	s.t.Helper()
+	a := s.finishStream(b, stream)
+	convey.So(a.status, convey.ShouldEqual, http.StatusOK)
+	convey.So(a.complete, convey.ShouldBeTrue)
+	convey.So(s.softwareOf(stream.attempts...), convey.ShouldHaveLength, 1)
+}
+
 func TestStreamMixesSoftwareVersionsInOneAnswer(t *testing.T) {
 	convey.Convey("A stream that is cut in its middle goes on at an engine of the version that began it", t, func() {
 		s := newVersionedSite(t, 2, "v1", "v2")
@@ -175,10 +185,7 @@
 				s := newVersionedSite(t, 3, "v1", "v2")
 				for range versionedStreams {
 					stream := s.beginStream(s.boxes[0])
-					a := s.finishStream(where(s, &stream), &stream)
-					convey.So(a.status, convey.ShouldEqual, http.StatusOK)
-					convey.So(a.complete, convey.ShouldBeTrue)
-					convey.So(s.softwareOf(stream.attempts...), convey.ShouldHaveLength, 1)
+					s.finishWhole(where(s, &stream), &stream)
 				}
 			})
 		})
@@ -192,10 +199,7 @@
 			stream := s.beginStream(s.boxes[0])
 			late := s.start(fmt.Sprintf("box-%d", len(s.boxes)+1))
 			s.eventually("the box that starts is ready", late.Ready)
-			a := s.finishStream(late, &stream)
-			convey.So(a.status, convey.ShouldEqual, http.StatusOK)
-			convey.So(a.complete, convey.ShouldBeTrue)
-			convey.So(s.softwareOf(stream.attempts...), convey.ShouldHaveLength, 1)
+			s.finishWhole(late, &stream)
 		}
 	})
 }
@@ -207,23 +211,23 @@
 		s.boxes[0].stop()
 		<-s.boxes[0].done
 		for i := range streams {
-			a := s.finishStream(s.boxes[1+i%2], &streams[i])
-			convey.So(a.status, convey.ShouldEqual, http.StatusOK)
-			convey.So(a.complete, convey.ShouldBeTrue)
-			convey.So(s.softwareOf(streams[i].attempts...), convey.ShouldHaveLength, 1)
+			s.finishWhole(s.boxes[1+i%2], &streams[i])
 		}
 	})
 }
 
+// statusByVersions are the software versions that serve and the status of streams of which no box
+// knows anything.
+var statusByVersions = map[string]struct {
+	versions []string
+	status   int
+}{
+	"one version serves": {versions: []string{"v1"}, status: http.StatusOK},
+	"two versions serve": {versions: []string{"v1", "v2"}, status: http.StatusServiceUnavailable},
+}
+
 func TestStreamMixesSoftwareVersionsAfterAllBoxesHaveEnded(t *testing.T) {
-	cases := map[string]struct {
-		versions []string
-		status   int
-	}{
-		"one version serves": {versions: []string{"v1"}, status: http.StatusOK},
-		"two versions serve": {versions: []string{"v1", "v2"}, status: http.StatusServiceUnavailable},
-	}
-	for name, c := range cases {
+	for name, c := range statusByVersions {
 		t.Run(name, func(t *testing.T) {
 			convey.Convey("Streams of which no box knows anything any more go on only if one version can have begun them", t, func() {
 				s := newVersionedSite(t, 2, c.versions...)
@@ -278,14 +282,7 @@
 }
 
 func TestStreamOfUnknownSoftwareVersionGoesOn(t *testing.T) {
-	cases := map[string]struct {
-		versions []string
-		status   int
-	}{
-		"one version serves": {versions: []string{"v1"}, status: http.StatusOK},
-		"two versions serve": {versions: []string{"v1", "v2"}, status: http.StatusServiceUnavailable},
-	}
-	for name, c := range cases {
+	for name, c := range statusByVersions {
 		t.Run(name, func(t *testing.T) {
 			convey.Convey("A stream that no box knows goes on only if no other version can have begun it", t, func() {
 				s := newVersionedSite(t, 2, c.versions...)
