Mutants: the fault of a completion that goes on anywhere compiles again

Change: the fault binds the completion to no version, which is the fault that it was. The code is not touched.

Conclusion: mine, by testing only the packages and not the mutants.

--- a/tests/mutants/streams.go
+++ b/tests/mutants/streams.go
@@ -35,7 +35,7 @@
 	},
 	{
 		name: "completion_goes_on_anywhere", file: "coordination/dispatch/orders.go", pkg: "./tests/integration", args: only("TestCompletionMixesSoftwareVersions"),
-		old: "if unsuited = !streams.Suits(bound, software); unsuited {", fault: "if unsuited {",
+		old: "if unsuited = !streams.Suits(bound, software); unsuited {", fault: `if unsuited = !streams.Suits("", software); unsuited {`,
 	},
 	{
 		name: "forgotten_box_never_greets", file: "transport/boxnet/boxnet.go", pkg: "./transport/boxnet", args: only("TestBrokenConnectionLeavesAPeerWithoutVersion"),
