--- a/review/_kit/stop.go
+++ b/review/_kit/stop.go
@@ -19,11 +19,11 @@
 	}
 	stopped := w.boxes[0]
 	const (
-		clients = 4
+		clients = 8
 		// work is how long the engine takes, in milliseconds, and body the size of a body.
 		work, body = 600, 50_000
 		// begin is when the first client begins to send after SIGTERM, and over how long it takes.
-		begin, over = 2500 * time.Millisecond, 620 * time.Millisecond
+		begin, over = 2410 * time.Millisecond, 620 * time.Millisecond
 		grace       = 8 * time.Second
 		slack       = 200 * time.Millisecond
 	)
@@ -58,7 +58,7 @@
 	var all sync.WaitGroup
 	for i, c := range conns {
 		all.Go(func() {
-			time.Sleep(time.Until(term.Add(begin + time.Duration(i)*20*time.Millisecond)))
+			time.Sleep(time.Until(term.Add(begin + time.Duration(i)*30*time.Millisecond)))
 			id := fmt.Sprintf("order-%d", i)
 			w.note("client %d begins to send %s on its kept connection, body of %d bytes over %v", i, id, body, over)
 			err := c.upload("POST", fmt.Sprintf("/unsafe/x?work=%d", work), id, body, 3000, over, 10)
