--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -6,4 +6,4 @@
 # the disruption.
 cd "$(dirname "$0")" || exit 2
 [ -x ../bin/kit ] && [ -x ../../target/runridge-router ] || exit 2
-exec ../bin/kit resume ../.. record.txt
+exec ../bin/kit unframed ../.. record.txt
--- a/review/_kit/main.go
+++ b/review/_kit/main.go
@@ -149,7 +149,7 @@
 		_, _ = fmt.Fprintln(os.Stderr, "usage: kit CASE ROOT RECORD")
 		os.Exit(notRun)
 	}
-	cases := map[string]func(*world) (int, error){"stop": stopCase, "resume": resumeCase, "unframed": unframedCase}
+	cases := map[string]func(*world) (int, error){"stop": stopCase, "resume": resumeCase, "unframed": unframedCase, "stray": strayCase}
 	play, ok := cases[os.Args[1]]
 	if !ok {
 		os.Exit(notRun)
--- a/review/_kit/router.go
+++ b/review/_kit/router.go
@@ -22,6 +22,7 @@
 // router is one box: the program of the deploy file, in a process of its own.
 type router struct {
 	name, front, ready string
+	settings           string
 	cmd                *exec.Cmd
 	done               chan struct{}
 }
@@ -130,12 +131,23 @@
 	if err := os.WriteFile(settings, []byte(fill(string(text), fields)), 0o600); err != nil {
 		return nil, err
 	}
-	logFile, err := os.Create(filepath.Join(f.dir, name+".log"))
+	return f.run(router{name: name, front: ports[0], ready: ports[1], settings: settings})
+}
+
+// again starts a box that has ended once more, with its settings.
+func (f fleet) again(b *router) (*router, error) {
+	return f.run(router{name: b.name, front: b.front, ready: b.ready, settings: b.settings})
+}
+
+// run starts the program of a box.
+func (f fleet) run(box router) (*router, error) {
+	logFile, err := os.OpenFile(filepath.Join(f.dir, box.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return nil, err
 	}
-	r := &router{name: name, front: ports[0], ready: ports[1], done: make(chan struct{})}
-	r.cmd = exec.Command(f.program, "serve", "--settings", settings)
+	r := &box
+	r.done = make(chan struct{})
+	r.cmd = exec.Command(f.program, "serve", "--settings", r.settings)
 	r.cmd.Stdout, r.cmd.Stderr = logFile, logFile
 	if err := r.cmd.Start(); err != nil {
 		return nil, err
