--- a/review/_kit/router.go
+++ b/review/_kit/router.go
@@ -55,8 +55,10 @@
 
 var given = make(map[string]bool)
 
-var gap = regexp.MustCompile(`\{\{([a-z_.0-9]+)(\|json)?\}\}`)
-var section = regexp.MustCompile(`(?s)\{\{#([a-z_.]+)\}\}(.*?)\{\{/([a-z_.]+)\}\}`)
+var (
+	gap     = regexp.MustCompile(`\{\{([a-z_.0-9]+)(\|json)?\}\}`)
+	section = regexp.MustCompile(`(?s)\{\{#([a-z_.]+)\}\}(.*?)\{\{/([a-z_.]+)\}\}`)
+)
 
 // lookUp returns a field by its dotted name.
 func lookUp(fields map[string]any, name string) any {
--- a/review/_kit/stray.go
+++ b/review/_kit/stray.go
@@ -21,7 +21,7 @@
 		// settle is contact_ms and a little more: all boxes are in touch then.
 		settle, after = 3500 * time.Millisecond, 3 * time.Second
 	)
-	if err := w.start(3, 4); err != nil {
+	if err := w.start(3, 8); err != nil {
 		return notRun, err
 	}
 	type sent struct {
