Discover: log which endpoints go out of use, and why

directory_changed named no endpoint and no reason, so a late request could not be told from a late change, and nothing said that an endpoint is kept in a grace period. No decision changes.

--- a/coordination/discover/discover.go
+++ b/coordination/discover/discover.go
@@ -153,11 +153,7 @@
 	if d.known.Revision() == old.Revision() && d.known.Known() == old.Known() {
 		return
 	}
-	d.cfg.Log.WithFields(log.Fields{
-		"revision":  d.known.Revision(),
-		"position":  d.known.At(),
-		"endpoints": d.known.Len(),
-	}).Info("directory_changed")
+	d.logChange(old, d.known)
 	if d.cfg.OnChange != nil {
 		d.cfg.OnChange(d.known)
 	}
@@ -190,7 +186,7 @@
 			sleep.For(ctx, min(decision.Wait, maxRoleCheckInterval))
 			continue
 		}
-		knownBefore := d.Directory().Known()
+		knownBefore, begun := d.Directory().Known(), time.Now()
 		err := d.readOnce(ctx, whole, decision)
 		if err != nil && whole && !knownBefore && d.Directory().Known() {
 			// A list from another box, maybe of another region, came first.
@@ -221,7 +217,9 @@
 			sleep.For(ctx, pauses.NextBackOff())
 		case ctx.Err() == nil:
 			d.noteFailed()
-			d.cfg.Log.WithError(err).Warn("endpoint_list_failed")
+			d.cfg.Log.WithError(err).WithFields(log.Fields{
+				"waited_ms": time.Since(begun).Milliseconds(), "away_ms": time.Since(d.LastHeard()).Milliseconds(), "whole": whole,
+			}).Warn("endpoint_list_failed")
 			if !lost {
 				d.notifyLost()
 			}
--- a/modules/timeline/timeline.go
+++ b/modules/timeline/timeline.go
@@ -34,6 +34,7 @@
 	"box_leaving", "own_pause_noticed", "settings_reloaded", "starting",
 	"stages_planned", "stage_ordered", "stage_order_unanswered", "quota_home_started", "quota_home_ended", "endpoint_watch_changed", "endpoint_entries_in_grace", "engine_ejected",
 	"endpoint_limit_told", "endpoint_limit_changed", "endpoint_path_lost", "endpoint_path_regained", "endpoint_unreached",
+	"endpoint_out_of_use", "endpoint_kept_in_grace", "platform_object_unreadable", "overload_limit",
 }
 
 // leadTime is how long before a request's first line a state event still belongs to its
