Directory: a later outage does not extend the grace period of an endpoint

Callers saw requests sent to an endpoint that had left many seconds before, and cut off when it ended. The directory had one end for all grace periods, and each outage of the store moved it on: an endpoint whose entry went in the first of six outages, 1.7 s apart, was used 8.5 s later. Now each endpoint keeps the end that it got when its entry went. The deliberate fault grace_extended_by_another brings the former behaviour back; grace_without_end follows the changed line.

--- a/state/directory/directory.go
+++ b/state/directory/directory.go
@@ -54,6 +54,8 @@
 	// InGrace means that the platform does not list the endpoint but may list it
 	// again: its entry may have expired while the platform was unavailable.
 	InGrace bool
+	// GraceEnds is when an endpoint in grace is gone if its entry has not come back.
+	GraceEnds time.Time
 	// StartedAt is when the endpoint began to count as just started: it appeared while
 	// this box followed the list, or the drain of its zone ended. It is zero otherwise,
 	// and once the endpoint has reported how long it is cold.
@@ -273,8 +275,8 @@
 		if w.ColdFor != old.ColdFor {
 			w.StartedAt = time.Time{}
 		}
-		if c.Gone && now.Before(d.graceUntil) && !old.Gone {
-			w.Gone, w.InGrace = false, true
+		if ends := d.graceEnds(*old); c.Gone && now.Before(ends) && !old.Gone {
+			w.Gone, w.InGrace, w.GraceEnds = false, true, ends
 		}
 		if known && w.unchangedFrom(old) {
 			if w.ColdFor != old.ColdFor && changed[w.ID] == nil {
--- a/state/directory/grace_test.go
+++ b/state/directory/grace_test.go
@@ -30,7 +30,13 @@
 		"another answers at its address":    {known.WithChanges(begin, 2, gone("a")).WithReplaced("a"), "a", false},
 		"gone in another box's update":      {known.WithUpdate(begin, known.WithChanges(begin, 2, gone("a")).Snapshot()).WithGraceEnded(begin.Add(2 * time.Second)), "a", false},
 		"reports that it leaves, then gone": {known.WithChanges(begin, 2, []Change{{Entry: Entry{ID: "a", Service: "s", Draining: true}}}).WithChanges(begin, 3, gone("a")), "a", false},
-		"reported in the same changes":      {known.WithChanges(begin, 3, []Change{{Entry: Entry{ID: "a", Service: "s", Draining: true}}, gone("a")[0]}), "a", false},
+		"gone in two outages, at the end of the first": {
+			known.WithChanges(begin, 2, gone("a")).WithGrace(begin.Add(4*time.Second)).WithChanges(begin.Add(time.Second), 3, gone("a")).WithGraceEnded(begin.Add(2 * time.Second)), "a", false,
+		},
+		"gone in the second of two outages, at the end of the first": {
+			known.WithGrace(begin.Add(4*time.Second)).WithChanges(begin.Add(time.Second), 3, gone("a")).WithGraceEnded(begin.Add(2 * time.Second)), "a", true,
+		},
+		"reported in the same changes": {known.WithChanges(begin, 3, []Change{{Entry: Entry{ID: "a", Service: "s", Draining: true}}, gone("a")[0]}), "a", false},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/tests/mutants/shared.go
+++ b/tests/mutants/shared.go
@@ -114,11 +114,15 @@
 	},
 	{
 		name: "lapsed_entries_are_gone", file: directoryFile, pkg: "./state/directory", args: only("TestGrace"),
-		old: "c.Gone && now.Before(d.graceUntil) && !old.Gone", fault: "false && !old.Gone",
+		old: "c.Gone && now.Before(ends) && !old.Gone", fault: "false && now.Before(ends)",
 	},
 	{
 		name: "grace_without_end", file: "state/directory/grace.go", pkg: "./state/directory", args: only("TestGrace"),
-		old: "if now.Before(d.graceUntil) {", fault: "if true {",
+		old: "if !w.InGrace || now.Before(w.GraceEnds) {", fault: "if true {",
+	},
+	{
+		name: "grace_extended_by_another", file: "state/directory/grace.go", pkg: discoverTests, args: only("TestEndpointThatLeftStaysInUseOverSeveralOutages"),
+		old: "now.Before(w.GraceEnds)", fault: "now.Before(d.graceUntil)",
 	},
 	{
 		name: "grace_without_outage", file: outageFile, pkg: discoverTests, args: only("TestEntriesMayLapseInAnOutage"),
