Discover: a lost watch or a suspension is no outage of the store

Callers saw requests at endpoints that had left while the store was well. A box took each silence of 1.5 s with one failed call for an outage and kept all endpoints that went for 1.8 s more: one watch that was lost (1 s, then the next wait), or a box that was suspended and whose call ended late, was enough. On machines that are often late, all boxes did. It also repeated only the wait after a lost one, so that a store whose watches hear nothing hid all changes. Now an outage takes two failed calls, or one of 1.5 s; a call that lasted much longer than its bound proves only that the box was suspended; and after a wait that failed the changes that exist are read at once.

--- a/coordination/discover/discover.go
+++ b/coordination/discover/discover.go
@@ -175,6 +175,8 @@
 	pauses.InitialInterval = initialBackoff
 	pauses.MaxInterval = maxBackoff
 	whole, lost := !d.awaitList(ctx), false
+	// atOnce is set after a wait for changes that failed: there may be changes that only it has missed.
+	atOnce := false
 	for ctx.Err() == nil {
 		// A box without a list can't serve requests, so it reads one even if it isn't a
 		// reader.
@@ -187,7 +189,10 @@
 			continue
 		}
 		knownBefore, begun := d.Directory().Known(), time.Now()
-		err := d.readOnce(ctx, whole, decision)
+		decision.AtOnce = decision.AtOnce || atOnce
+		bound := d.readTimeout(whole, decision)
+		err := d.readOnce(ctx, bound, whole, decision)
+		atOnce = err != nil && !whole && !decision.AtOnce
 		if err != nil && whole && !knownBefore && d.Directory().Known() {
 			// A list from another box, maybe of another region, came first.
 			whole = false
@@ -216,7 +221,7 @@
 			d.announce(d.lostUpdate())
 			sleep.For(ctx, pauses.NextBackOff())
 		case ctx.Err() == nil:
-			d.noteFailed()
+			d.noteFailed(time.Since(begun), bound)
 			d.cfg.Log.WithError(err).WithFields(log.Fields{
 				"waited_ms": time.Since(begun).Milliseconds(), "away_ms": time.Since(d.LastHeard()).Milliseconds(), "whole": whole,
 			}).Warn("endpoint_list_failed")
@@ -242,16 +247,21 @@
 	}
 }
 
-// readOnce reads the whole list, or else the changes, as decided: those that exist now, or
-// those that arrive during a wait. It updates the directory and announces what was read.
-func (d *Discoverer) readOnce(ctx context.Context, whole bool, decided cover.Decision) error {
-	bound := d.cfg.Wait
+// readTimeout returns the bound of a read of the whole list, or else of the changes.
+func (d *Discoverer) readTimeout(whole bool, decided cover.Decision) time.Duration {
 	switch {
 	case whole:
-		bound = listTimeout
+		return listTimeout
 	case decided.MaxWait > 0:
-		bound = min(bound, decided.MaxWait+answerTime)
+		return min(d.cfg.Wait, decided.MaxWait+answerTime)
+	default:
+		return d.cfg.Wait
 	}
+}
+
+// readOnce reads the whole list, or else the changes, as decided: those that exist now, or
+// those that arrive during a wait. It updates the directory and announces what was read.
+func (d *Discoverer) readOnce(ctx context.Context, bound time.Duration, whole bool, decided cover.Decision) error {
 	ctx, cancel := context.WithTimeout(ctx, bound)
 	defer cancel()
 	if whole {
--- a/coordination/discover/grace_test.go
+++ b/coordination/discover/grace_test.go
@@ -24,9 +24,9 @@
 		box, from := f.boxes[f.lastRanked()], f.readers()[0]
 		outages := func(sequence uint64, changes ...directory.Change) {
 			time.Sleep(outageLength / 2)
-			box.noteFailed()
+			box.noteFailed(time.Second, time.Second)
 			time.Sleep(outageLength / 2)
-			box.noteFailed()
+			box.noteFailed(time.Second, time.Second)
 			box.Receive(from, directory.Update{Origin: from, Sequence: sequence, After: sequence, At: sequence + 1, Changes: changes})
 		}
 		box.Receive(from, directory.Update{Origin: from, Sequence: 1, At: 2, Changes: []directory.Change{{Entry: entry("a")}}})
@@ -110,3 +110,22 @@
 		})
 	}
 }
+
+// Guards against a departure that stays unknown while each watch is lost and other reads work.
+func TestLostWatchHidesAChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := New(Config{Source: &departure{goes: time.Now(), lost: 1000}, Log: log.Discard()})
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			_ = d.Run(ctx)
+		}()
+		time.Sleep(defaultWait + maxBackoff)
+		if w, known := d.Directory().Status("a"); !known || w.Usable() {
+			t.Errorf("known %v, in use %v", known, w.Usable())
+		}
+		cancel()
+		<-ended
+	})
+}
--- a/coordination/discover/outage.go
+++ b/coordination/discover/outage.go
@@ -15,6 +15,11 @@
 	// minOutage is the shortest silence of the platform in which an entry may expire
 	// although its endpoint is alive.
 	minOutage = 1500 * time.Millisecond
+	// minFailures is how many calls have to fail in an outage, as the platform may lose one of them, unless
+	// one lasts for minOutage.
+	minFailures = 2
+	// maxOverrun is how much longer than its bound a call may last if the box itself was not suspended.
+	maxOverrun = 500 * time.Millisecond
 	// gracePeriod is how long such entries have to reappear. Endpoints rewrite them within
 	// about two seconds; an endpoint that is really gone must be out of the directory before
 	// that.
@@ -24,9 +29,11 @@
 // outage tracks whether the platform is unavailable or was restored from an older copy.
 type outage struct {
 	// lastHeard is when the platform last answered this box, or another box that reported
-	// it. failed is set if a call to the platform has failed since.
+	// it. failures counts the calls to the platform that have failed since, and longest is the time that the
+	// longest of them took.
 	lastHeard time.Time
-	failed    bool
+	failures  int
+	longest   time.Duration
 	// rereadAt is when the whole list has to be read once more; zero means that no such read
 	// is due.
 	rereadAt time.Time
@@ -35,11 +42,16 @@
 	restoredAt time.Time
 }
 
-// noteFailed records that a call to the platform failed.
-func (d *Discoverer) noteFailed() {
+// noteFailed records that a call to the platform failed after some time, of at most bound. One that took
+// much longer shows that this box was suspended, and nothing of the platform.
+func (d *Discoverer) noteFailed(took, bound time.Duration) {
+	if took > bound+maxOverrun {
+		return
+	}
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	d.outage.failed = true
+	d.outage.failures++
+	d.outage.longest = max(d.outage.longest, took)
 }
 
 // LastHeard returns when the platform last answered this box, or another box that reported it.
@@ -55,9 +67,9 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	away := now.Sub(d.outage.lastHeard)
-	over := d.outage.failed && away >= minOutage
-	d.outage.lastHeard, d.outage.failed = now, false
-	if !over {
+	failed := d.outage.failures >= minFailures || d.outage.longest >= minOutage
+	d.outage.lastHeard, d.outage.failures, d.outage.longest = now, 0, 0
+	if !failed || away < minOutage {
 		return
 	}
 	d.startGrace(now)
--- a/coordination/discover/share_test.go
+++ b/coordination/discover/share_test.go
@@ -256,14 +256,21 @@
 
 func TestEntriesMayLapseInAnOutage(t *testing.T) {
 	cases := map[string]struct {
-		away   time.Duration
-		failed bool
+		away time.Duration
+		// failed has how long each failed call took, with a bound of callBound.
+		failed []time.Duration
 		usable bool
 	}{
-		"after an outage":               {away: 3 * time.Second, failed: true, usable: true},
-		"after a short failure":         {away: 500 * time.Millisecond, failed: true},
-		"after a silence without fault": {away: 3 * time.Second},
+		"after an outage":                         {away: 3 * time.Second, failed: []time.Duration{time.Second, time.Second}, usable: true},
+		"after calls that were refused":           {away: 3 * time.Second, failed: []time.Duration{0, 0, 0}, usable: true},
+		"after one long call":                     {away: 3 * time.Second, failed: []time.Duration{2 * time.Second}, usable: true},
+		"after a short failure":                   {away: 500 * time.Millisecond, failed: []time.Duration{0, 0}},
+		"after a silence without fault":           {away: 3 * time.Second},
+		"after one lost watch":                    {away: 3 * time.Second, failed: []time.Duration{time.Second}},
+		"after calls that the box itself held up": {away: 9 * time.Second, failed: []time.Duration{3 * time.Second, 3 * time.Second}},
+		"after a lost watch and a suspension":     {away: 9 * time.Second, failed: []time.Duration{time.Second, 5 * time.Second}},
 	}
+	const callBound = 2 * time.Second
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -272,8 +279,8 @@
 				from := f.readers()[0]
 				box.Receive(from, directory.Update{Origin: from, Sequence: 1, At: 5, Changes: []directory.Change{{Entry: entry("a")}}})
 				time.Sleep(c.away)
-				if c.failed {
-					box.noteFailed()
+				for _, took := range c.failed {
+					box.noteFailed(took, callBound)
 				}
 				box.Receive(from, directory.Update{Origin: from, Sequence: 2, After: 5, At: 6, Changes: []directory.Change{{Entry: entry("a"), Gone: true}}})
 				if w, _ := box.Directory().Status("a"); w.Usable() != c.usable {
--- a/tests/mutants/shared.go
+++ b/tests/mutants/shared.go
@@ -126,7 +126,19 @@
 	},
 	{
 		name: "grace_without_outage", file: outageFile, pkg: discoverTests, args: only("TestEntriesMayLapseInAnOutage"),
-		old: "over := d.outage.failed && away >= minOutage", fault: "over := away >= minOutage",
+		old: "if !failed || away < minOutage {", fault: "if _ = failed; away < minOutage {",
+	},
+	{
+		name: "lost_watch_is_an_outage", file: outageFile, pkg: discoverTests, args: only("TestEntriesMayLapseInAnOutage"),
+		old: "minFailures = 2", fault: "minFailures = 1",
+	},
+	{
+		name: "suspension_is_an_outage", file: outageFile, pkg: discoverTests, args: only("TestEntriesMayLapseInAnOutage"),
+		old: "if took > bound+maxOverrun {", fault: "if false {",
+	},
+	{
+		name: "lost_watch_is_repeated", file: "coordination/discover/discover.go", pkg: discoverTests, args: only("TestLostWatchHidesAChange"),
+		old: "atOnce = err != nil && !whole && !decision.AtOnce", fault: "atOnce = false",
 	},
 	{
 		name: "lost_platform_covers", file: shareFile, pkg: discoverTests, args: only("TestUpdatesThatCoverNobody"),
