Directory: an entry that was overwritten has no grace period

The entry was read 0.6 s after the write, just after an outage, and the box took it for one that may have expired, as the adapter said only that it was gone. A change now says that an entry was overwritten; such an endpoint is out of use at once. The field stands at the end of the message, and boxes of earlier builds pass over it.

--- a/state/directory/directory.go
+++ b/state/directory/directory.go
@@ -115,6 +115,9 @@
 type Change struct {
 	Entry Entry
 	Gone  bool
+	// Overwritten means that an entry is gone because something that names no endpoint was written in its
+	// place, so that it has not expired. Boxes of earlier builds don't state it.
+	Overwritten bool
 }
 
 // Revision returns the number of changes of this directory.
@@ -275,7 +278,7 @@
 		if w.ColdFor != old.ColdFor {
 			w.StartedAt = time.Time{}
 		}
-		if ends := d.graceEnds(*old); c.Gone && now.Before(ends) && !old.Gone {
+		if ends := d.graceEnds(*old); c.Gone && !c.Overwritten && now.Before(ends) && !old.Gone {
 			w.Gone, w.InGrace, w.GraceEnds = false, true, ends
 		}
 		if known && w.unchangedFrom(old) {
--- a/state/directory/grace_test.go
+++ b/state/directory/grace_test.go
@@ -36,6 +36,10 @@
 		"gone in the second of two outages, at the end of the first": {
 			known.WithGrace(begin.Add(4*time.Second)).WithChanges(begin.Add(time.Second), 3, gone("a")).WithGraceEnded(begin.Add(2 * time.Second)), "a", true,
 		},
+		"overwritten": {known.WithChanges(begin, 2, []Change{{Entry: Entry{ID: "a"}, Gone: true, Overwritten: true}}), "a", false},
+		"overwritten while in grace": {
+			known.WithChanges(begin, 2, gone("a")).WithChanges(begin, 3, []Change{{Entry: Entry{ID: "a"}, Gone: true, Overwritten: true}}), "a", false,
+		},
 		"reported in the same changes": {known.WithChanges(begin, 3, []Change{{Entry: Entry{ID: "a", Service: "s", Draining: true}}, gone("a")[0]}), "a", false},
 	}
 	for name, c := range cases {
--- a/tests/mutants/shared.go
+++ b/tests/mutants/shared.go
@@ -114,7 +114,11 @@
 	},
 	{
 		name: "lapsed_entries_are_gone", file: directoryFile, pkg: "./state/directory", args: only("TestGrace"),
-		old: "c.Gone && now.Before(ends) && !old.Gone", fault: "false && now.Before(ends)",
+		old: "c.Gone && !c.Overwritten && now.Before(ends)", fault: "false && now.Before(ends)",
+	},
+	{
+		name: "overwritten_entry_has_grace", file: directoryFile, pkg: "./state/directory", args: only("TestGrace"),
+		old: "c.Gone && !c.Overwritten && now.Before(ends)", fault: "c.Gone && now.Before(ends)",
 	},
 	{
 		name: "grace_without_end", file: "state/directory/grace.go", pkg: "./state/directory", args: only("TestGrace"),
