Relay: a request is checked again once its connection is there

Callers saw requests cut off that were sent to an endpoint after its departure was known. The call now carries the check, and the client asks it between the connection and the first byte; what is withheld there counts as not sent.

--- a/coordination/relay/exchange.go
+++ b/coordination/relay/exchange.go
@@ -94,18 +94,56 @@
 	}
 }
 
-// prefill sends the prompt to a prefill engine, stores the result in h.kept and notifies the
-// home.
-func (h *handler) prefill(ctx context.Context, id string, a schedule.Ask) result {
+// sendable returns an endpoint if the request may be sent to it now, or else the result of the attempt.
+// counted reports whether the limits of the endpoint allow it.
+func (h *handler) sendable(id string, counted func(id string) bool) (Endpoint, *result) {
 	if reason := h.stopReason(); reason != "" {
-		return result{kind: refused, reason: reason}
+		return Endpoint{}, &result{kind: refused, reason: reason}
 	}
-	engine, reason := h.endpoint(id)
+	e, reason := h.endpoint(id)
 	if reason != "" {
-		return result{kind: unsent, endpoint: id, reason: reason}
+		return Endpoint{}, &result{kind: unsent, endpoint: id, reason: reason}
+	}
+	if !counted(id) {
+		return Endpoint{}, &result{kind: unsent, endpoint: id, reason: reasonNotCounted}
+	}
+	return e, nil
+}
+
+// answerable is sendable for the request for the answer.
+func (h *handler) answerable(id string) (Endpoint, *result) {
+	e, withheld := h.sendable(id, h.mayDecode)
+	if w, known := h.relay.cfg.Directory.Directory().Status(id); withheld == nil && known && !h.softwareSuits(w) {
+		withheld = &result{kind: unsent, endpoint: id, reason: records.ReasonOtherSoftware}
+	}
+	return e, withheld
+}
+
+// prefillable is sendable for the prompt.
+func (h *handler) prefillable(id string) (Endpoint, *result) { return h.sendable(id, h.mayPrefill) }
+
+// exchange sends a call to an endpoint. It checks again once a connection is there, since making one takes
+// time, and returns the result of the attempt if the call must not be sent any more.
+func (h *handler) exchange(ctx context.Context, call Call, check func(id string) (Endpoint, *result)) (*Answer, *result, error) {
+	var withheld *result
+	call.MaySend = func() bool {
+		_, withheld = check(call.Endpoint.ID)
+		return withheld == nil
+	}
+	h.sentAt = h.relay.cfg.Now()
+	answer, err := h.relay.cfg.Endpoints.Send(ctx, call)
+	if withheld != nil {
+		return nil, withheld, nil
 	}
-	if !h.mayPrefill(id) {
-		return result{kind: unsent, endpoint: id, reason: reasonNotCounted}
+	return answer, nil, err
+}
+
+// prefill sends the prompt to a prefill engine, stores the result in h.kept and notifies the
+// home.
+func (h *handler) prefill(ctx context.Context, id string, a schedule.Ask) result {
+	engine, withheld := h.prefillable(id)
+	if withheld != nil {
+		return *withheld
 	}
 	if !h.allowArrival() {
 		return result{kind: refused, reason: "retry_budget", retryAfter: minRetryAfter}
@@ -117,8 +155,10 @@
 	bounded, cancel := context.WithTimeout(ctx, time.Duration(float64(h.route.Target())*prefillTimeoutFactor))
 	defer cancel()
 	begin := h.relay.cfg.Now()
-	h.sentAt = begin
-	answer, err := h.relay.cfg.Endpoints.Send(bounded, call)
+	answer, withheld, err := h.exchange(bounded, call, h.prefillable)
+	if withheld != nil {
+		return *withheld
+	}
 	if err != nil {
 		unreached := adapter.RanOf(err) == lifecycle.NotRun
 		if !unreached {
@@ -195,19 +235,9 @@
 
 // send sends the request to an endpoint and relays its answer.
 func (h *handler) send(ctx context.Context, id, source string) result {
-	if reason := h.stopReason(); reason != "" {
-		return result{kind: refused, reason: reason}
-	}
-	e, reason := h.endpoint(id)
-	if reason != "" {
-		return result{kind: unsent, endpoint: id, reason: reason}
-	}
-	w, _ := h.relay.cfg.Directory.Directory().Status(id)
-	if !h.softwareSuits(w) {
-		return result{kind: unsent, endpoint: id, reason: records.ReasonOtherSoftware}
-	}
-	if !h.mayDecode(id) {
-		return result{kind: unsent, endpoint: id, reason: reasonNotCounted}
+	e, withheld := h.answerable(id)
+	if withheld != nil {
+		return *withheld
 	}
 	if !h.allowArrival() {
 		return result{kind: refused, reason: "retry_budget", retryAfter: minRetryAfter}
@@ -216,8 +246,10 @@
 	h.sends++
 	call := h.newCall(e)
 	call.Source, call.Repeatable = source, h.route.Idempotent()
-	h.sentAt = h.relay.cfg.Now()
-	answer, err := h.relay.cfg.Endpoints.Send(ctx, call)
+	answer, withheld, err := h.exchange(ctx, call, h.answerable)
+	if withheld != nil {
+		return *withheld
+	}
 	unreached := err != nil && adapter.RanOf(err) == lifecycle.NotRun
 	if !unreached {
 		h.noteArrival()
--- a/coordination/relay/types.go
+++ b/coordination/relay/types.go
@@ -101,6 +101,9 @@
 	Allowed locality.Allowed
 	// DirectOnly keeps the call from going through another box.
 	DirectOnly bool
+	// MaySend, if set, is asked once a connection to the endpoint is there; if it returns false, nothing is
+	// sent, and the error is adapter.ErrNotRun.
+	MaySend func() bool
 	// Control marks a call that the box makes on its own behalf, without a caller's request or
 	// request ID.
 	Control bool
--- a/transport/upstream/upstream.go
+++ b/transport/upstream/upstream.go
@@ -155,6 +155,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if call.MaySend != nil && !call.MaySend() {
+		k.retire()
+		return nil, adapter.ErrNotRun.New("endpoint %s may not be sent to any more", call.Endpoint.ID)
+	}
 	x := &exchange{client: c, conn: k, call: call, names: c.cfg.Names}
 	a, err := x.run(ctx)
 	if err == nil && !a.AddressTaken {
