Upstream: the time of the dial counts against the deadline

Endpoints were given the time that the caller had left when the request was placed, and worked on past the deadline by the time that the connection took. The client now takes that off before it writes. TestDeadlineContainsTheTimeOfTheDial failed before (10 s given after a dial of 200 ms, 9.8 s at most now).

--- a/coordination/relay/types.go
+++ b/coordination/relay/types.go
@@ -81,7 +81,7 @@
 	Header    []HeaderField
 	Body      []byte
 	HasBody   bool
-	// Remaining is the time that the endpoint may spend on the call; 0 means no limit.
+	// Remaining is the time that the call may take, with that to connect to the endpoint; 0 means no limit.
 	Remaining time.Duration
 	// HasPriority reports whether Priority is sent; priority 0 is the most urgent.
 	HasPriority bool
--- a/transport/upstream/upstream.go
+++ b/transport/upstream/upstream.go
@@ -151,10 +151,14 @@
 // Send sends a request once and returns when the head of its answer has arrived. Errors are
 // adapter.ErrNotRun or adapter.ErrMayHaveRun.
 func (c *Client) Send(ctx context.Context, call relay.Call) (*relay.Answer, error) {
+	begin := time.Now()
 	k, err := c.take(ctx, call)
 	if err != nil {
 		return nil, err
 	}
+	if call.Remaining > 0 {
+		call.Remaining = max(call.Remaining-time.Since(begin), time.Millisecond)
+	}
 	if call.MaySend != nil && !call.MaySend() {
 		k.retire()
 		return nil, adapter.ErrNotRun.New("endpoint %s may not be sent to any more", call.Endpoint.ID)
--- a/transport/upstream/upstream_test.go
+++ b/transport/upstream/upstream_test.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
@@ -217,3 +218,25 @@
 		})
 	}
 }
+
+// Guards against an endpoint that works on past the caller's deadline by the time that the dial took.
+func TestDeadlineContainsTheTimeOfTheDial(t *testing.T) {
+	convey.Convey("The time that an endpoint is given is what the dial has left", t, func() {
+		const remaining, dial = 10 * time.Second, 200 * time.Millisecond
+		s := newServer(t)
+		var dialer net.Dialer
+		c := New(Config{Names: relayapi.Default(), Dial: func(ctx context.Context, address string) (net.Conn, error) {
+			time.Sleep(dial)
+			return dialer.DialContext(ctx, "tcp", address)
+		}})
+		go func() {
+			_, _ = c.Send(t.Context(), relay.Call{
+				Endpoint: s.endpoint(), Method: http.MethodGet, Target: "/", Host: "h", RequestID: "1", Remaining: remaining,
+			})
+		}()
+		req := <-(<-s.accepted).requests
+		given, err := strconv.Atoi(req.Header.Get(relayapi.Default().Deadline))
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(time.Duration(given)*time.Millisecond, convey.ShouldBeLessThanOrEqualTo, remaining-dial)
+	})
+}
