Own interface: no order is sent to an engine that left after its grant

The same cause on the product's own interface: an order checked only what the engine had said in its answers, not that the table in force marks it as leaving, and nothing after the connection was made. Both are checked now, the second by the clients that connect (the check goes with the context), for the first order of an attempt to an engine and for calls to plain services; an order that follows the engine's own work for the attempt still reaches it. What is withheld counts as not sent and blames nobody.

--- a/coordination/dispatch/orders.go
+++ b/coordination/dispatch/orders.go
@@ -45,7 +45,7 @@
 			d.failOrder(e.Attempt, e.Engine, notInTable(), lifecycle.ReasonRouteRemoved)
 			return
 		}
-		ctx, cancel := context.WithTimeout(ctx, d.dispatcher.cfg.StepTimeout)
+		ctx, cancel := context.WithTimeout(d.withSendCheck(ctx, e.Engine), d.dispatcher.cfg.StepTimeout)
 		defer cancel()
 		p, err := d.dispatcher.cfg.Engine.Prefill(ctx, engine, attempt, prompt, d.request.Once)
 		if err != nil {
@@ -84,6 +84,7 @@
 		OutputTokens: d.request.OutputTokens - d.machine.Emitted,
 	}
 	timeout := d.moveTimeout
+	first := !d.decodeStarted
 	withheld := d.withholdDecode(e.To)
 	d.startOrder(func(ctx context.Context) {
 		if withheld != "" {
@@ -94,6 +95,9 @@
 			d.failOrder(e.Attempt, e.To, notInTable(), lifecycle.ReasonRouteRemoved)
 			return
 		}
+		if first {
+			ctx = d.withSendCheck(ctx, e.To)
+		}
 		ctx, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
 		begin := time.Now()
@@ -141,6 +145,7 @@
 		p := d.prompt()
 		order.Recompute = &p
 	}
+	first := !d.decodeStarted
 	withheld := d.withholdDecode(e.Engine)
 	bound := d.software
 	d.startOrder(func(ctx context.Context) {
@@ -152,6 +157,9 @@
 			d.failOrder(e.Attempt, e.Engine, notInTable(), lifecycle.ReasonRouteRemoved)
 			return
 		}
+		if first {
+			ctx = d.withSendCheck(ctx, e.Engine)
+		}
 		if d.request.Forward != nil {
 			d.forward(ctx, attempt, e, engine)
 			return
@@ -246,6 +254,10 @@
 
 // failOrder logs and posts the failure of an order.
 func (d *driver) failOrder(number uint32, engine string, err error, reason lifecycle.Reason) {
+	if withheld := adapter.WithheldReason(err); withheld != "" {
+		d.failWithheld(number, engine, withheld)
+		return
+	}
 	ran, text := callError(err)
 	d.dispatcher.cfg.Log.WithFields(log.Fields{
 		log.FieldRequest: d.call.ID.String(),
--- a/coordination/dispatch/paced.go
+++ b/coordination/dispatch/paced.go
@@ -4,8 +4,11 @@
 package dispatch
 
 import (
+	"context"
 	"time"
 
+	"runridge.example/runridge/coordination/adapter"
+	"runridge.example/runridge/coordination/notice"
 	"runridge.example/runridge/modules/log"
 	"runridge.example/runridge/state/lifecycle"
 	"runridge.example/runridge/state/streams"
@@ -14,11 +17,26 @@
 // reasonNotCounted is why an order is not sent if no home has counted it for its engine.
 const reasonNotCounted = "endpoint_not_counted"
 
+// leaving returns why no order of a new attempt may be sent to an engine: it is leaving or resting. It
+// returns an empty string if one may.
+func (d *driver) leaving(engine string) string {
+	if e, known := d.dispatcher.cfg.Tables.Table().Endpoint(engine); known && e.Leaving {
+		return notice.ReasonLeaving
+	}
+	return d.dispatcher.cfg.Notices.Availability(engine).Reason()
+}
+
+// withSendCheck returns a context for the first order of an attempt to an engine, which is checked again
+// once the connection is there.
+func (d *driver) withSendCheck(ctx context.Context, engine string) context.Context {
+	return adapter.WithSendCheck(ctx, func() string { return d.leaving(engine) })
+}
+
 // withholdPrefill returns why the prefill must not be sent to an engine now: the engine is
 // leaving or resting, or it announces a limit and no home has counted the attempt for it. It
 // returns an empty string if the prefill may be sent.
 func (d *driver) withholdPrefill(engine string) string {
-	if reason := d.dispatcher.cfg.Notices.Availability(engine).Reason(); reason != "" {
+	if reason := d.leaving(engine); reason != "" {
 		return reason
 	}
 	if d.prefillCounted(engine) {
@@ -39,7 +57,7 @@
 	if e, known := d.dispatcher.cfg.Tables.Table().Endpoint(engine); known && !streams.Suits(d.software, e.Software) {
 		return streams.ReasonOtherSoftware
 	}
-	if reason := d.dispatcher.cfg.Notices.Availability(engine).Reason(); reason != "" && !d.decodeStarted {
+	if reason := d.leaving(engine); reason != "" && !d.decodeStarted {
 		return reason
 	}
 	if d.decodeCounted(engine) {
--- a/tests/mutants/leaving.go
+++ b/tests/mutants/leaving.go
@@ -13,4 +13,16 @@
 		name: "dial_is_not_in_the_deadline", file: "transport/upstream/upstream.go", pkg: "./transport/upstream", args: only("TestDeadlineContainsTheTimeOfTheDial"),
 		old: "call.Remaining-time.Since(begin)", fault: "call.Remaining-0*time.Since(begin)",
 	},
+	{
+		name: "engine_leaving_by_the_table", file: "coordination/dispatch/paced.go", pkg: "./coordination/dispatch", args: only("TestOrderIsSentToAnEngineThatLeftAfterItsGrant"),
+		old: "known && e.Leaving", fault: "known && false && e.Leaving",
+	},
+	{
+		name: "order_not_checked_after_the_dial", file: "transport/httpcall/httpcall.go", pkg: "./transport/httpcall",
+		old: "if err := adapter.CheckSend(ctx); err != nil {", fault: "if err := adapter.CheckSend(ctx); false {",
+	},
+	{
+		name: "orders_without_a_check", file: "coordination/dispatch/paced.go", pkg: "./coordination/dispatch", args: only("TestOrderIsSentToAnEngineThatLeftAfterItsGrant"),
+		old: "return adapter.WithSendCheck(ctx, func() string { return d.leaving(engine) })", fault: "_ = adapter.WithSendCheck\n\treturn ctx",
+	},
 }
--- a/transport/httpcall/httpcall.go
+++ b/transport/httpcall/httpcall.go
@@ -25,6 +25,9 @@
 	dialTimeout = 2 * time.Second
 )
 
+// opDial is the operation of errors of connections that were not established.
+const opDial = "dial"
+
 // Clients holds two clients that differ in whether they reuse connections.
 type Clients struct {
 	// Shared reuses connections. Fresh opens one for each order, so that net/http never
@@ -47,6 +50,9 @@
 				if err != nil {
 					return nil, err
 				}
+				if err := adapter.CheckSend(ctx); err != nil {
+					return nil, &net.OpError{Op: opDial, Net: network, Err: errors.Join(err, c.Close())}
+				}
 				return socket.ReportResets(c), nil
 			},
 			MaxIdleConnsPerHost: maxIdle,
@@ -76,7 +82,7 @@
 // established, otherwise adapter.ErrMayHaveRun.
 func ErrorType(err error) *errorx.Type {
 	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
+	if errors.As(err, &op) && op.Op == opDial {
 		return adapter.ErrNotRun
 	}
 	return adapter.ErrMayHaveRun
