Soak: requests at leaving endpoints are judged by the platform's bound

A new kind, endpoint_unlisted, removes the entry of an endpoint that serves on. Such a removal is judged only if neither the store nor the box was in trouble in the 3 s before (the store gives the acknowledgement while stable); two cases show both sides.

--- a/bench/soak/check/answers.go
+++ b/bench/soak/check/answers.go
@@ -199,8 +199,9 @@
 	if a.At.Before(c.At) || (!c.RevertedAt.IsZero() && !a.At.Before(c.RevertedAt)) {
 		return
 	}
-	since, reachable := v.ReachableSince(boxOf(a.ID), c.At, a.At)
-	if !reachable {
+	box := boxOf(a.ID)
+	since, reachable := v.ReachableSince(box, c.At, a.At)
+	if !reachable || c.Removed && v.mayHaveExpired(box, c.At) {
 		return
 	}
 	late := a.At.Sub(since) - bound
@@ -235,3 +236,10 @@
 		}
 	}
 }
+
+// mayHaveExpired reports whether a box may take an entry that was removed at a time for one that expired: it
+// did not reach the store, or nobody did, shortly before or since.
+func (v *verifier) mayHaveExpired(box string, removed time.Time) bool {
+	since, reachable := v.ReachableSince(box, removed.Add(-v.bounds.Stable), removed.Add(v.bounds.Leaving))
+	return !reachable || since.After(removed.Add(-v.bounds.Stable))
+}
--- a/bench/soak/check/check.go
+++ b/bench/soak/check/check.go
@@ -62,6 +62,8 @@
 	At     time.Time
 	// RevertedAt is when the action was reverted; zero if it never was.
 	RevertedAt time.Time
+	// Removed is set for an endpoint that left without a word: its entry was removed.
+	Removed bool
 }
 
 // Quota is the quota of an account from a time on.
@@ -80,7 +82,9 @@
 	RetryRatio, RetrySlack                                       float64
 	Lease                                                        time.Duration
 	// Contact is the time within which boxes must learn from each other what they need.
-	Contact                          time.Duration
+	Contact time.Duration
+	// Stable is how long the store has to be without fault to count as stable.
+	Stable                           time.Duration
 	ColdPace, ColdOverage, ColdSlack float64
 }
 
--- a/bench/soak/check/check_test.go
+++ b/bench/soak/check/check_test.go
@@ -21,7 +21,7 @@
 // bounds returns bounds like those of the platform's specification.
 func bounds() Bounds {
 	return Bounds{
-		Gone: 500 * time.Millisecond, Leaving: 3 * time.Second, KeyWithdrawn: 5 * time.Second, KeyGiven: 3 * time.Second, ZoneDrained: 5 * time.Second,
+		Gone: 500 * time.Millisecond, Leaving: 3 * time.Second, Stable: 3 * time.Second, KeyWithdrawn: 5 * time.Second, KeyGiven: 3 * time.Second, ZoneDrained: 5 * time.Second,
 		Answered: 500 * time.Millisecond, QuotaWindow: 8 * time.Second, QuotaOverage: 0.1, QuotaSlack: 20,
 		RetryWindow: 10 * time.Second, RetryRatio: 0.2, RetrySlack: 2, Lease: 3 * time.Second,
 		ColdPace: 10, ColdOverage: 1.5, ColdSlack: 5,
@@ -128,6 +128,14 @@
 		"leaving endpoint": {Record{
 			Leaving: []Change{{Target: "plain1-1", At: at(0)}}, Observed: standin.LedgerSnapshot{Arrivals: []standin.Arrival{runArrival(id, 3100)}},
 		}, "leaving_gets_no_work"},
+		"endpoint without entry": {Record{
+			Leaving: []Change{{Target: "plain1-1", At: at(0), Removed: true}}, Observed: standin.LedgerSnapshot{Arrivals: []standin.Arrival{runArrival(id, 3100)}},
+			Faults: []Fault{{Store: true, From: at(-4000), To: at(-3100)}},
+		}, "leaving_gets_no_work"},
+		"endpoint without entry, which may have expired": {Record{
+			Leaving: []Change{{Target: "plain1-1", At: at(0), Removed: true}}, Observed: standin.LedgerSnapshot{Arrivals: []standin.Arrival{runArrival(id, 3100)}},
+			Faults: []Fault{{Store: true, From: at(-3000), To: at(-1000)}},
+		}, ""},
 		"leaving endpoint, store unavailable": {Record{
 			Leaving: []Change{{Target: "plain1-1", At: at(0)}}, Observed: standin.LedgerSnapshot{Arrivals: []standin.Arrival{runArrival(id, 3100)}},
 			Faults: []Fault{{Store: true, From: at(-100), To: at(300)}},
--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -44,6 +44,8 @@
 		return r.crashEndpoint
 	case schedule.EndpointLeaving:
 		return r.leaveEndpoint
+	case schedule.EndpointUnlisted:
+		return r.unlistEndpoint
 	case schedule.StrayEntries:
 		return r.writeStray
 	case schedule.EndpointReleased:
--- a/bench/soak/schedule/schedule.go
+++ b/bench/soak/schedule/schedule.go
@@ -66,6 +66,8 @@
 	EndpointCrashed Kind = "endpoint_crashed"
 	EndpointMoved   Kind = "endpoint_address_reused"
 	EndpointLeaving Kind = "endpoint_leaving"
+	// EndpointUnlisted removes the entry of an endpoint that serves on and never says that it is draining.
+	EndpointUnlisted Kind = "endpoint_unlisted"
 	// PoisonRequest is a request that crashes each endpoint that runs it, and is repeated.
 	PoisonRequest Kind = "poison_request"
 	// EndpointLimited has an endpoint name a limit on the requests from all boxes together.
@@ -170,13 +172,14 @@
 	EndpointUnframedCut: {target: OnPlace, weight: 2, minDuration: second, jitter: 4 * second},
 	CallersCrowd:        {target: OnBox, weight: 4, minDuration: 6 * second, jitter: 4 * second},
 	EndpointReleased:    {target: OnPlace, weight: 6, minDuration: 4 * second, jitter: 2 * second},
+	EndpointUnlisted:    {target: OnPlace, weight: 4, minDuration: 6 * second, jitter: 4 * second},
 	StrayEntries:        {target: OnPlace, weight: 4, minDuration: 6 * second, jitter: 4 * second},
 	TransfersStalled:    {weight: 2},
 }
 
 // optional are the kinds that are drawn only if they are asked for. Kinds that were added
 // later are here too, so that a seed still draws the schedule that it drew before.
-var optional = []Kind{ZoneDrained, TransfersStalled, PoisonRequest, EndpointLimited, EndpointTired, EndpointParting, StoreOlder, EndpointsLost, EndpointReleased, PoisonPart, EndpointUnframed, EndpointUnframedCut, CallersCrowd, StrayEntries}
+var optional = []Kind{ZoneDrained, TransfersStalled, PoisonRequest, EndpointLimited, EndpointTired, EndpointParting, StoreOlder, EndpointsLost, EndpointReleased, PoisonPart, EndpointUnframed, EndpointUnframedCut, CallersCrowd, StrayEntries, EndpointUnlisted}
 
 // ByDefault returns the kinds that are drawn for routed services unless others are asked for:
 // all except those that need an optional feature of a deployment and those that were added
--- a/bench/soak/signals.go
+++ b/bench/soak/signals.go
@@ -223,6 +223,11 @@
 	r.changeEntry(e, "Leave", func() { sleepUntil(ctx, time.Now().Add(e.For)) })
 }
 
+// unlistEndpoint removes the entry of an endpoint, which serves on, and writes it again when the event ends.
+func (r *run) unlistEndpoint(ctx context.Context, e schedule.Event) {
+	r.changeEntry(e, "Unlist", func() { sleepUntil(ctx, time.Now().Add(e.For)) })
+}
+
 // changeEntry has a method of the site change the entry of an endpoint so that the endpoint gets no more
 // work, calls during, and takes the change back.
 func (r *run) changeEntry(e schedule.Event, method string, during func()) {
@@ -238,6 +243,9 @@
 		return
 	}
 	i := r.recordLeaving(id)
+	r.mutex.Lock()
+	r.record.Leaving[i].Removed = method == "Unlist"
+	r.mutex.Unlock()
 	during()
 	r.mutex.Lock()
 	r.record.Leaving[i].RevertedAt = time.Now()
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -168,17 +168,22 @@
 	}
 }
 
-// bounds returns the bounds of the platform's specification, with time bounds extended by Room.
+// drainBound is how long after the store has acknowledged that an endpoint leaves requests may reach it.
+const drainBound = 2 * time.Second
+
+// bounds returns the bounds of the platform's specification, with time bounds extended by Room but for that of
+// leaving endpoints: stalls of the machine are recorded as faults.
 func (r *run) bounds() check.Bounds {
 	room := func(d time.Duration) time.Duration { return time.Duration(float64(d) * r.cfg.Room) }
 	b := check.Bounds{
-		Gone: room(500 * time.Millisecond), Leaving: room(3 * time.Second), KeyWithdrawn: room(5 * time.Second),
+		Gone: room(500 * time.Millisecond), Leaving: drainBound, KeyWithdrawn: room(5 * time.Second),
 		KeyGiven:    room(tableBound),
 		ZoneDrained: room(5 * time.Second), Answered: room(500 * time.Millisecond),
 		QuotaWindow: quotaWindow, QuotaOverage: quotaOverage, QuotaSlack: quotaSlack,
 		RetryWindow: retryWindow, RetryRatio: retryRatio, RetrySlack: retrySlack,
 		Lease:   lease,
 		Contact: room(contactBound),
+		Stable:  contactBound,
 	}
 	if r.cfg.Features.Cold {
 		b.ColdPace, b.ColdOverage, b.ColdSlack = coldPace, coldOverage, coldSlack
