Upstream, own interface, store: the head of an answer has a bound

An endpoint may send bytes that are no answer, without end. A head, with all interim answers before it, has 64 KB at most now (adapter.MaxAnswerHead), for answers of endpoints, of engines on the own interface (net/http reads 10 MB by default) and of the store. Past it the connection is closed and answer_head_too_long logged with the count; the request may have run, as after any answer that cannot be read. Errors quote 200 bytes.

--- /dev/null
+++ b/tests/mutants/bounds.go
@@ -0,0 +1,24 @@
+// Copyright 2026 The Runridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package main
+
+// boundMutants are faults by which a peer makes a box read or keep bytes without end.
+var boundMutants = []mutant{
+	{
+		name: "head_without_bound", file: "transport/upstream/conn.go", pkg: "./transport/upstream", args: only("TestHeadWithoutEndIsReadWhole"),
+		old: "if r.k.head.due {", fault: "if false {",
+	},
+	{
+		name: "body_counts_as_head", file: "transport/upstream/exchange.go", pkg: "./transport/upstream", args: only("TestLongBodyIsTakenForAHead"),
+		old: "	defer x.conn.endHead()\n", fault: "",
+	},
+	{
+		name: "error_quotes_a_peer", file: "coordination/adapter/bounds.go", pkg: "./transport/upstream", args: only("TestHeadWithoutEndIsReadWhole"),
+		old: "maxErrorText = 200", fault: "maxErrorText = 200 << 10",
+	},
+	{
+		name: "order_answer_without_bound", file: "transport/httpcall/httpcall.go", pkg: "./transport/httpcall", args: only("TestHeadWithoutEndIsReadWhole"),
+		old: "MaxResponseHeaderBytes: adapter.MaxAnswerHead", fault: "MaxResponseHeaderBytes: 16 * adapter.MaxAnswerHead",
+	},
+}
--- a/transport/httpcall/httpcall.go
+++ b/transport/httpcall/httpcall.go
@@ -59,6 +59,8 @@
 			IdleConnTimeout:     idleTimeout,
 			DisableKeepAlives:   fresh,
 			DisableCompression:  true,
+
+			MaxResponseHeaderBytes: adapter.MaxAnswerHead,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
--- a/transport/httpcall/httpcall_test.go
+++ b/transport/httpcall/httpcall_test.go
@@ -6,6 +6,7 @@
 import (
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 
@@ -62,3 +63,22 @@
 	}
 	return ErrorType(err).Wrap(err, "endpoint")
 }
+
+// Guards against a box that runs out of memory because an endpoint sends a head that is very long.
+func TestHeadWithoutEndIsReadWhole(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Long", strings.Repeat("x", 2*adapter.MaxAnswerHead))
+	}))
+	defer server.Close()
+	clients := New()
+	defer clients.Close()
+	for name, client := range map[string]*http.Client{"a connection for each order": clients.Fresh, "connections that are reused": clients.Shared} {
+		t.Run(name, func(t *testing.T) {
+			resp, err := client.Get(server.URL)
+			if err == nil {
+				_ = resp.Body.Close()
+				t.Error("the answer was read")
+			}
+		})
+	}
+}
--- a/transport/platformhttp/platformhttp.go
+++ b/transport/platformhttp/platformhttp.go
@@ -44,7 +44,7 @@
 
 // New returns a client for the API at address, an IP address and port.
 func New(address string) *Client {
-	return &Client{address: address, http: &http.Client{Transport: &http.Transport{}}}
+	return &Client{address: address, http: &http.Client{Transport: &http.Transport{MaxResponseHeaderBytes: adapter.MaxAnswerHead}}}
 }
 
 // Observe sets the observer of the objects that are read. It is called before all other methods.
@@ -142,6 +142,6 @@
 	case http.StatusConflict:
 		return adapter.ErrConflict
 	default:
-		return errors.New("platform: " + resp.Status + ": " + string(data))
+		return adapter.Shorten(errors.New("platform: " + resp.Status + ": " + string(data)))
 	}
 }
--- a/transport/upstream/exchange.go
+++ b/transport/upstream/exchange.go
@@ -170,10 +170,12 @@
 // skipped; an answer without a request ID is an error unless this is a control call.
 func (x *exchange) read() (*http.Response, error) {
 	request := &http.Request{Method: x.call.Method}
+	x.conn.beginHead()
+	defer x.conn.endHead()
 	for range maxStray {
 		resp, err := http.ReadResponse(x.conn.reader, request)
 		if err != nil {
-			return nil, err
+			return nil, x.headError(err)
 		}
 		if resp.StatusCode < http.StatusContinue || resp.StatusCode == http.StatusSwitchingProtocols {
 			return nil, errStatus
@@ -190,13 +192,27 @@
 		}
 		// A late answer to an earlier request arrived before ours.
 		x.stray = true
+		x.conn.endHead()
 		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStrayBytes)); err != nil {
 			return nil, err
 		}
+		x.conn.beginHead()
 	}
 	return nil, errStrays
 }
 
+// headError returns the error of a head that could not be read, without what the endpoint sent. It logs one that
+// is too long.
+func (x *exchange) headError(err error) error {
+	if !errors.Is(err, errHeadTooLong) {
+		return adapter.Shorten(err)
+	}
+	x.client.cfg.Log.WithFields(log.Fields{
+		log.FieldRequest: x.call.RequestID, log.FieldEngine: x.call.Endpoint.ID, "bytes": adapter.MaxAnswerHead,
+	}).Warn("answer_head_too_long")
+	return errHeadTooLong
+}
+
 var (
 	errStatus = errors.New("answer with an invalid status code")
 	errNoID   = errors.New("answer without a request ID")
