Upstream, log: what is not for a caller is read in bounded time, lines are bounded

An answer that a box drops, such as a refusal before a retry, was read to 64 KB however slowly it came, so an endpoint that sends the beginning of a body and nothing more held the request to its deadline. It is read for 100 ms at most now, then its connection is closed. A field of a log line has 2 KB at most: errors may quote what a peer sent.

--- a/coordination/relay/types.go
+++ b/coordination/relay/types.go
@@ -142,10 +142,21 @@
 	successClass = 2
 	// maxDiscard limits how much of a body is read to make its connection reusable, in bytes.
 	maxDiscard = 64 << 10
+	// discardTime limits how long that takes: the rest of a short body usually came with its beginning.
+	discardTime = 100 * time.Millisecond
 )
 
-// Discard reads the rest of a short body and closes it, so that the connection can be reused.
+// readDeadliner is a body whose reads can be given a deadline.
+type readDeadliner interface{ SetReadDeadline(at time.Time) error }
+
+// Discard reads the rest of a short body and closes it, so that the connection can be reused. A body that
+// does not come at once is closed with its connection.
 func (a *Answer) Discard() error {
+	if body, ok := a.Body.(readDeadliner); ok {
+		if err := body.SetReadDeadline(time.Now().Add(discardTime)); err != nil {
+			return errors.Join(err, a.Body.Close())
+		}
+	}
 	_, err := io.Copy(io.Discard, io.LimitReader(a.Body, maxDiscard))
 	if err != nil {
 		return err
--- a/modules/log/log.go
+++ b/modules/log/log.go
@@ -59,9 +59,38 @@
 		FullTimestamp:   true,
 		TimestampFormat: time.RFC3339Nano,
 	})
+	l.AddHook(fieldLimit{})
 	return l, nil
 }
 
+// maxField is the longest text of a field, in bytes: errors may quote what a peer sent.
+const maxField = 2 << 10
+
+// fieldLimit is a hook that cuts the texts of fields.
+type fieldLimit struct{}
+
+// Levels returns all levels.
+func (fieldLimit) Levels() []logrus.Level { return logrus.AllLevels }
+
+// Fire cuts the fields of an entry, which is a copy made for its line.
+func (fieldLimit) Fire(e *logrus.Entry) error {
+	for name, value := range e.Data {
+		var text string
+		switch v := value.(type) {
+		case string:
+			text = v
+		case error:
+			text = v.Error()
+		default:
+			continue
+		}
+		if len(text) > maxField {
+			e.Data[name] = text[:maxField] + "..."
+		}
+	}
+	return nil
+}
+
 // Discard returns a logger that drops every event; tests and benchmarks use it.
 func Discard() *logrus.Logger {
 	l := logrus.New()
--- a/tests/mutants/bounds.go
+++ b/tests/mutants/bounds.go
@@ -21,4 +21,12 @@
 		name: "order_answer_without_bound", file: "transport/httpcall/httpcall.go", pkg: "./transport/httpcall", args: only("TestHeadWithoutEndIsReadWhole"),
 		old: "MaxResponseHeaderBytes: adapter.MaxAnswerHead", fault: "MaxResponseHeaderBytes: 16 * adapter.MaxAnswerHead",
 	},
+	{
+		name: "discard_without_bound", file: "coordination/relay/types.go", pkg: "./transport/upstream", args: only("TestDiscardedBodyWithoutEndHoldsItsRequest"),
+		old: "time.Now().Add(discardTime)", fault: "time.Time{}",
+	},
+	{
+		name: "log_fields_without_bound", file: "modules/log/log.go", pkg: "./modules/log", args: only("TestLineHoldsWhatAPeerSent"),
+		old: "if len(text) > maxField {", fault: "if false {",
+	},
 }
--- a/transport/upstream/bounds_test.go
+++ b/transport/upstream/bounds_test.go
@@ -121,3 +121,30 @@
 		t.Error("no answer")
 	}
 }
+
+// Guards against a request that waits for the rest of an answer that is not for its caller.
+func TestDiscardedBodyWithoutEndHoldsItsRequest(t *testing.T) {
+	cases := map[string]string{
+		"the rest never comes": "Content-Length: 1000\r\n\r\nbegin",
+		"chunks without end":   "Transfer-Encoding: chunked\r\n\r\n5\r\nbegin\r\n",
+	}
+	for name, rest := range cases {
+		t.Run(name, func(t *testing.T) {
+			s, c := newServer(t), client()
+			ctx, cancel := context.WithTimeout(t.Context(), waitTimeout)
+			defer cancel()
+			go func() {
+				conn := <-s.accepted
+				<-conn.requests
+				_, _ = io.WriteString(conn, "HTTP/1.1 503 Busy\r\nRunridge-Request-Id: 1\r\n"+rest)
+			}()
+			a, err := c.Send(ctx, relay.Call{Endpoint: s.endpoint(), Method: http.MethodGet, Target: "/", Host: "h", RequestID: "1"})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := a.Discard(); err == nil || ctx.Err() != nil {
+				t.Errorf("discarded with error %v, the request's time: %v", err, ctx.Err())
+			}
+		})
+	}
+}
--- a/transport/upstream/exchange.go
+++ b/transport/upstream/exchange.go
@@ -300,6 +300,9 @@
 	return n, io.EOF
 }
 
+// SetReadDeadline bounds the reads from the body.
+func (b *body) SetReadDeadline(at time.Time) error { return b.x.conn.raw.SetReadDeadline(at) }
+
 // logEnd logs how an answer without a length ended, and how far the request was written by then.
 func (b *body) logEnd(err error) {
 	fields := log.Fields{
