Upstream: a connection that was closed is not pooled again

A box crashed (nil pool) if a connection was closed as silent while the answer on it ended well, and all that it had in hand was lost; with other connections open to that endpoint the closed one was offered to the next request. The pool now remembers that a connection was closed. TestClosedConnectionIsPooledAgain failed before: a panic with the only connection, reuse with others.

--- a/tests/mutants/bounds.go
+++ b/tests/mutants/bounds.go
@@ -3,7 +3,7 @@
 
 package main
 
-// boundMutants are faults by which a peer makes a box read or keep bytes without end.
+// boundMutants are faults by which a peer makes a box read or keep bytes without end, or keep closed connections.
 var boundMutants = []mutant{
 	{
 		name: "head_without_bound", file: "transport/upstream/conn.go", pkg: "./transport/upstream", args: only("TestHeadWithoutEndIsReadWhole"),
@@ -29,4 +29,8 @@
 		name: "log_fields_without_bound", file: "modules/log/log.go", pkg: "./modules/log", args: only("TestLineHoldsWhatAPeerSent"),
 		old: "if len(text) > maxField {", fault: "if false {",
 	},
+	{
+		name: "closed_connection_pooled", file: "transport/upstream/upstream.go", pkg: "./transport/upstream", args: only("TestClosedConnectionIsPooledAgain"),
+		old: "	if k.retired {", fault: "	if false {",
+	},
 }
--- a/transport/upstream/conn.go
+++ b/transport/upstream/conn.go
@@ -25,6 +25,8 @@
 	raw    net.Conn
 	reader *bufio.Reader
 	once   sync.Once
+	// retired is true once the connection is closed; the client's mutex guards it.
+	retired bool
 	// idleFor is how long the connection may be idle and still be reused.
 	idleFor time.Duration
 	// watched is closed when the watch over the idle connection has ended. clean is its
@@ -93,7 +95,7 @@
 func (k *conn) retire() {
 	k.once.Do(func() {
 		_ = k.raw.Close()
-		k.client.closed(k.key)
+		k.client.retired(k)
 	})
 }
 
--- a/transport/upstream/upstream.go
+++ b/transport/upstream/upstream.go
@@ -266,15 +266,26 @@
 	return 0
 }
 
-// put returns a connection to its pool for the next request.
+// put returns a connection to its pool for the next request, unless it was closed meanwhile.
 func (c *Client) put(k *conn) {
 	k.startIdle()
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	if k.retired {
+		return
+	}
 	p := c.pools[k.key]
 	p.idle = append(p.idle, k)
 }
 
+// retired removes a connection that is closed from its pool's count.
+func (c *Client) retired(k *conn) {
+	c.mutex.Lock()
+	k.retired = true
+	c.mutex.Unlock()
+	c.closed(k.key)
+}
+
 // closed removes a closed or never opened connection from its pool's count, and the pool once
 // it is empty.
 func (c *Client) closed(key poolKey) {
