Directory: an endpoint that starts again under its id is in use again

An endpoint that started again at another address, under the id that it had, got nothing for as long as it lived if another endpoint was found at its former address: the mark stood for the id. It now stands for the start and the address at which the other one answered, and an answer that comes late, from the former address, does not mark the new one. TestEndpointThatStartedAgainStaysReplaced failed in its first two cases before (deliberate faults start_at_another_address_stays_replaced and former_address_replaces_a_start). The model of TestOracleDirectory, in which addresses vary, follows; left_endpoint_comes_back follows the changed line.

--- a/coordination/discover/discover.go
+++ b/coordination/discover/discover.go
@@ -131,8 +131,8 @@
 }
 
 // MarkReplaced marks an endpoint as gone because another endpoint answered at its address.
-func (d *Discoverer) MarkReplaced(id string) {
-	d.update(func(known directory.Directory) directory.Directory { return known.WithReplaced(id) })
+func (d *Discoverer) MarkReplaced(id, address string) {
+	d.update(func(known directory.Directory) directory.Directory { return known.WithReplaced(id, address) })
 }
 
 // SetDrained sets the drained availability zones.
--- a/coordination/quarantine/quarantine_test.go
+++ b/coordination/quarantine/quarantine_test.go
@@ -351,14 +351,17 @@
 		"nothing listens there": {answer: errRefused, want: true},
 		"it listens":            {answer: listening},
 		"it listens, and starts again under its id": {answer: listening, after: bornAgain, want: true},
-		"it listens, and another has its address":   {answer: listening, after: func(d directory.Directory) directory.Directory { return d.WithReplaced("e1") }, want: true},
-		"it listens, and leaves unannounced":        {answer: listening, after: gone},
-		"it is silent":                              {silent: true},
-		"it is silent, and its entry goes":          {silent: true, after: gone, want: true},
-		"it is silent, and says that it drains":     {silent: true, after: draining},
-		"it was draining":                           {answer: errRefused, before: draining},
-		"it was not listed any more":                {answer: errRefused, before: gone},
-		"the connection times out":                  {answer: errSilent},
+		"it listens, and another has its address": {answer: listening, after: func(d directory.Directory) directory.Directory {
+			w, _ := d.Status("e1")
+			return d.WithReplaced("e1", w.Address)
+		}, want: true},
+		"it listens, and leaves unannounced":    {answer: listening, after: gone},
+		"it is silent":                          {silent: true},
+		"it is silent, and its entry goes":      {silent: true, after: gone, want: true},
+		"it is silent, and says that it drains": {silent: true, after: draining},
+		"it was draining":                       {answer: errRefused, before: draining},
+		"it was not listed any more":            {answer: errRefused, before: gone},
+		"the connection times out":              {answer: errSilent},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/coordination/relay/exchange.go
+++ b/coordination/relay/exchange.go
@@ -199,7 +199,7 @@
 // noteAddressTaken informs the directory if another endpoint now has the address of e.
 func (h *handler) noteAddressTaken(a *Answer, e Endpoint) {
 	if a.AddressTaken {
-		h.relay.cfg.Directory.MarkReplaced(e.ID)
+		h.relay.cfg.Directory.MarkReplaced(e.ID, e.Address)
 	}
 }
 
--- a/coordination/relay/relay.go
+++ b/coordination/relay/relay.go
@@ -43,8 +43,8 @@
 // Directory provides the endpoints that this box knows.
 type Directory interface {
 	Directory() directory.Directory
-	// MarkReplaced records that another endpoint now has the address of the given one.
-	MarkReplaced(id string)
+	// MarkReplaced records that another endpoint now has an address of the given one.
+	MarkReplaced(id, address string)
 }
 
 // Quotas enforces the quotas of accounts across all boxes.
--- a/coordination/relay/where_test.go
+++ b/coordination/relay/where_test.go
@@ -27,7 +27,7 @@
 type staticDirectory struct{ d directory.Directory }
 
 func (s *staticDirectory) Directory() directory.Directory { return s.d }
-func (*staticDirectory) MarkReplaced(string)              {}
+func (*staticDirectory) MarkReplaced(string, string)      {}
 
 // groupsWithoutHomes lists groups for which there is no box to ask.
 type groupsWithoutHomes []group.Place
--- a/state/directory/directory.go
+++ b/state/directory/directory.go
@@ -262,7 +262,8 @@
 		if !known {
 			old = &Status{}
 		}
-		w := &Status{Entry: c.Entry, Gone: c.Gone, Since: now, Replaced: old.Replaced, StartedAt: old.StartedAt}
+		w := &Status{Entry: c.Entry, Gone: c.Gone, Since: now, StartedAt: old.StartedAt}
+		w.Replaced = old.Replaced && (c.Gone || c.Entry.Born == old.Born && c.Entry.Address == old.Address)
 		if !known && following {
 			w.StartedAt = now
 		}
@@ -297,10 +298,11 @@
 }
 
 // WithReplaced returns the directory after another endpoint answered at the address of the
-// one with this id, which proves that this one is no longer there.
-func (d Directory) WithReplaced(id string) Directory {
+// one with this id, which proves that this one is no longer there. One that has started again at another address
+// meanwhile stays in use.
+func (d Directory) WithReplaced(id, address string) Directory {
 	w, ok := d.Status(id)
-	if !ok || w.Replaced {
+	if !ok || w.Replaced || w.Address != address {
 		return d
 	}
 	w.Replaced = true
--- a/state/directory/directory_test.go
+++ b/state/directory/directory_test.go
@@ -41,7 +41,7 @@
 		convey.So(again.At(), convey.ShouldEqual, 11)
 	})
 	convey.Convey("An endpoint proved to have left stays out though it is listed again", t, func() {
-		d := Directory{}.WithList(start, 10, []Entry{entry("a", "s", "1")}).WithReplaced("a")
+		d := Directory{}.WithList(start, 10, []Entry{entry("a", "s", "1")}).WithReplaced("a", entry("a", "s", "1").Address)
 		e := entry("a", "s", "1")
 		e.Slots = 5
 		d = d.WithChanges(start, 11, []Change{{Entry: e}})
@@ -143,7 +143,13 @@
 			history = append(history, historyEntry{at: at, change: c, present: present})
 		}
 		d := Directory{}
-		left := map[string]bool{}
+		// left has the addresses at which others answered.
+		left := map[string]string{}
+		listed := func(e Entry) {
+			if address, found := left[e.ID]; found && address != e.Address {
+				delete(left, e.ID)
+			}
+		}
 		drained := false
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
 			to := rapid.IntRange(0, 30).Draw(t, "to")
@@ -152,12 +158,18 @@
 				var list []Entry
 				for _, e := range history[to].present {
 					list = append(list, e)
+					if uint64(to) >= d.At() {
+						listed(e)
+					}
 				}
 				d = d.WithList(start, uint64(to), list)
 			case 1:
 				var changes []Change
 				for at := int(d.At()) + 1; at <= to; at++ {
 					changes = append(changes, history[at].change)
+					if !history[at].change.Gone {
+						listed(history[at].change.Entry)
+					}
 				}
 				d = d.WithChanges(start, uint64(to), changes)
 			case 2:
@@ -165,16 +177,18 @@
 				d = d.WithDrained(start, map[string]bool{"zone-a": drained, "zone-b": true})
 			default:
 				id := rapid.SampledFrom(ids).Draw(t, "left")
-				if _, known := d.Status(id); known {
-					left[id] = true
+				w, known := d.Status(id)
+				if known {
+					left[id] = w.Address
 				}
-				d = d.WithReplaced(id)
+				d = d.WithReplaced(id, w.Address)
 			}
 			for _, id := range ids {
 				e, listed := history[d.At()].present[id]
 				w, known := d.Status(id)
-				if known && w.Usable() != (listed && !e.Draining && !left[id] && !drained) {
-					t.Fatalf("at %d: %s usable %v, listed %v draining %v left %v zone drained %v", d.At(), id, w.Usable(), listed, e.Draining, left[id], drained)
+				_, gone := left[id]
+				if known && w.Usable() != (listed && !e.Draining && !gone && !drained) {
+					t.Fatalf("at %d: %s usable %v, listed %v draining %v left %v zone drained %v", d.At(), id, w.Usable(), listed, e.Draining, gone, drained)
 				}
 				if !known && listed {
 					t.Fatalf("at %d: %s is listed and not known", d.At(), id)
@@ -184,5 +198,34 @@
 	})
 }
 
+// Guards against an endpoint that gets nothing for good since its former address belongs to another one.
+func TestEndpointThatStartedAgainStaysReplaced(t *testing.T) {
+	first := Entry{ID: "a", Service: "s", Address: "1", Born: 1}
+	again := Entry{ID: "a", Service: "s", Address: "2", Born: 2}
+	known := Directory{}.WithList(time.Unix(1000, 0), 1, []Entry{first})
+	change := func(d Directory, e Entry, at uint64) Directory {
+		return d.WithChanges(time.Unix(1000, 0), at, []Change{{Entry: e}})
+	}
+	cases := map[string]struct {
+		directory Directory
+		usable    bool
+	}{
+		"found replaced before it starts again": {change(known.WithReplaced("a", "1"), again, 2), true},
+		"found replaced after it started again": {change(known, again, 2).WithReplaced("a", "1"), true},
+		"its new address is another's":          {change(known, again, 2).WithReplaced("a", "2"), false},
+		"its entry comes again as it was":       {change(known.WithReplaced("a", "1"), first, 2), false},
+		"its entry goes and comes again": {
+			change(known.WithReplaced("a", "1").WithChanges(time.Unix(1000, 0), 2, []Change{{Entry: Entry{ID: "a"}, Gone: true}}), first, 3), false,
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			if w, _ := c.directory.Status("a"); w.Usable() != c.usable {
+				t.Errorf("usable: %v", w.Usable())
+			}
+		})
+	}
+}
+
 // TestMain fixes the seed of the property tests.
 func TestMain(m *testing.M) { os.Exit(seed.Run(m, 5000)) }
--- a/state/directory/grace_test.go
+++ b/state/directory/grace_test.go
@@ -27,7 +27,7 @@
 		"before the end":                    {known.WithChanges(begin, 2, gone("a")).WithGraceEnded(begin.Add(time.Second)), "a", true},
 		"back before the end":               {known.WithChanges(begin, 2, gone("a")).WithList(begin, 3, listed).WithGraceEnded(begin.Add(3 * time.Second)), "a", true},
 		"gone without a grace period":       {known.WithChanges(begin.Add(3*time.Second), 2, gone("a")), "a", false},
-		"another answers at its address":    {known.WithChanges(begin, 2, gone("a")).WithReplaced("a"), "a", false},
+		"another answers at its address":    {known.WithChanges(begin, 2, gone("a")).WithReplaced("a", ""), "a", false},
 		"gone in another box's update":      {known.WithUpdate(begin, known.WithChanges(begin, 2, gone("a")).Snapshot()).WithGraceEnded(begin.Add(2 * time.Second)), "a", false},
 		"reports that it leaves, then gone": {known.WithChanges(begin, 2, []Change{{Entry: Entry{ID: "a", Service: "s", Draining: true}}}).WithChanges(begin, 3, gone("a")), "a", false},
 		"gone in two outages, at the end of the first": {
--- a/state/group/group_test.go
+++ b/state/group/group_test.go
@@ -86,7 +86,8 @@
 		for range rapid.IntRange(1, 12).Draw(t, "steps") {
 			revision++
 			if rapid.IntRange(0, 9).Draw(t, "left") == 0 {
-				d = d.WithReplaced(fmt.Sprint("i-", rapid.IntRange(0, size).Draw(t, "id")))
+				w, _ := d.Status(fmt.Sprint("i-", rapid.IntRange(0, size).Draw(t, "id")))
+				d = d.WithReplaced(w.ID, w.Address)
 			}
 			d = d.WithChanges(time.Time{}, revision, drawChanges(t, size))
 			if rapid.IntRange(0, 4).Draw(t, "drains") == 0 {
--- a/tests/mutants/leaving.go
+++ b/tests/mutants/leaving.go
@@ -25,4 +25,12 @@
 		name: "orders_without_a_check", file: "coordination/dispatch/paced.go", pkg: "./coordination/dispatch", args: only("TestOrderIsSentToAnEngineThatLeftAfterItsGrant"),
 		old: "return adapter.WithSendCheck(ctx, func() string { return d.leaving(engine) })", fault: "_ = adapter.WithSendCheck\n\treturn ctx",
 	},
+	{
+		name: "start_at_another_address_stays_replaced", file: directoryFile, pkg: "./state/directory", args: only("TestEndpointThatStartedAgainStaysReplaced"),
+		old: "old.Replaced && (c.Gone || c.Entry.Born == old.Born && c.Entry.Address == old.Address)", fault: "old.Replaced",
+	},
+	{
+		name: "former_address_replaces_a_start", file: directoryFile, pkg: "./state/directory", args: only("TestEndpointThatStartedAgainStaysReplaced"),
+		old: "w.Replaced || w.Address != address", fault: "w.Replaced || address == \"\"",
+	},
 }
--- a/tests/mutants/routed.go
+++ b/tests/mutants/routed.go
@@ -117,7 +117,7 @@
 	},
 	{
 		name: "left_endpoint_comes_back", file: directoryFile, pkg: "./state/directory", args: manyCases("TestOracleDirectory"),
-		old: "Since: now, Replaced: old.Replaced,", fault: "Since: now,",
+		old: "w.Replaced = old.Replaced && (", fault: "w.Replaced = false && (",
 	},
 	{
 		name: "write_to_an_ended_connection", file: "transport/boxnet/boxnet.go", pkg: "./transport/boxnet", args: only("TestRestart"),
--- a/transport/upstream/pooled_test.go
+++ b/transport/upstream/pooled_test.go
@@ -27,25 +27,22 @@
 			s, client := newServer(t), client()
 			ctx, cancel := context.WithTimeout(t.Context(), waitTimeout)
 			defer cancel()
-			open := func(id string) (*relay.Answer, *accepted) {
-				conns := make(chan *accepted, 1)
+			open := func(id string) *relay.Answer {
 				go func() {
 					conn := <-s.accepted
 					<-conn.requests
 					_, _ = io.WriteString(conn, text(id, "x"))
-					conns <- conn
 				}()
 				a, err := client.Send(ctx, relay.Call{Endpoint: s.endpoint(), Method: http.MethodGet, Target: "/", Host: "h", RequestID: id})
 				if err != nil {
 					t.Fatal(err)
 				}
-				return a, <-conns
+				return a
 			}
 			for range c.others {
-				_, _ = open("other")
+				open("other")
 			}
-			a, _ := open("1")
-			ended := a.Body.(*body)
+			ended := open("1").Body.(*body)
 			if _, err := io.ReadFull(ended.source, make([]byte, 1)); err != nil {
 				t.Fatal(err)
 			}
