--- a/coordination/discover/report.go
+++ b/coordination/discover/report.go
@@ -41,14 +41,14 @@
 	ids, _ := known.ChangedSince(old.Revision())
 	outOfUse, kept := 0, 0
 	for _, id := range ids {
-		was, _ := old.Status(id)
+		was, knew := old.Status(id)
 		w, found := known.Status(id)
 		if !found {
 			continue
 		}
 		fields := log.Fields{log.FieldEngine: id, "born": w.Born, "position": known.At(), "revision": known.Revision()}
 		switch {
-		case was.Usable() && !w.Usable():
+		case knew && was.Usable() && !w.Usable():
 			outOfUse++
 			if outOfUse <= maxReported {
 				fields[log.FieldReason] = outOfUseReason(w)
