--- a/transport/upstream/bounds_test.go
+++ b/transport/upstream/bounds_test.go
@@ -18,6 +18,7 @@
 	"runridge.example/runridge/coordination/adapter"
 	"runridge.example/runridge/coordination/relay"
 	"runridge.example/runridge/protocol/relayapi"
+	"runridge.example/runridge/tests/peer"
 )
 
 // countingConn counts the bytes that are read.
@@ -32,28 +33,17 @@
 	return n, err
 }
 
-// sendWithoutEnd serves one connection: it sends the beginning, and then a piece again and again, up to
+// sendWithoutEnd returns the address of a server that sends the beginning, and then a piece again and again, up to
 // endlessBytes in all.
 func sendWithoutEnd(t *testing.T, first, piece string) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		c, err := l.Accept()
-		if err != nil {
-			return
-		}
-		defer func() { _ = c.Close() }()
+	return peer.Serve(t, func(c *net.TCPConn) {
 		pieces := strings.Repeat(piece, max(1, 4096/len(piece)))
-		_, err = io.WriteString(c, first)
+		_, err := io.WriteString(c, first)
 		for sent := 0; err == nil && sent < endlessBytes; sent += len(pieces) {
 			_, err = io.WriteString(c, pieces)
 		}
-	}()
-	return l.Addr().String()
+	})
 }
 
 const (
