Deliberate faults: one that did not compile any more

origin_is_recorded_when_sent used a variable that the relay's send does not have any more; it reads the endpoint's status itself.

--- a/tests/mutants/streams.go
+++ b/tests/mutants/streams.go
@@ -35,7 +35,7 @@
 	},
 	{
 		name: "origin_is_recorded_when_sent", file: "coordination/relay/exchange.go", pkg: "./coordination/relay", args: only("TestOriginOfAFailedSendIsRecorded"),
-		old: "	h.noteTakenUp()\n", fault: "	h.software = w.Version\n	h.recordOrigin(h.request.ID)\n	h.software = \"\"\n",
+		old: "	h.noteTakenUp()\n", fault: "	w, _ := h.relay.cfg.Directory.Directory().Status(id)\n	h.software = w.Version\n	h.recordOrigin(h.request.ID)\n	h.software = \"\"\n",
 	},
 	{
 		name: "completion_goes_on_anywhere", file: "coordination/dispatch/orders.go", pkg: "./tests/integration", args: only("TestCompletionMixesSoftwareVersions"),
