Soak: callers keep connections no longer than the platform's do

Its caller had used its connection to that box last at 15:16:05.552 and sent the request at 15:16:22.564, 17.01 s later, when the box closed it: idle_timeout_ms is 15 s, with a grace of 2 s. The platform's clients "take up connections that have rested for up to four fifths" of it. The soak's callers kept theirs without end; they close them after 12 s now. The check stays as it is.

--- a/bench/soak/load.go
+++ b/bench/soak/load.go
@@ -42,7 +42,9 @@
 func (r *run) runCaller(ctx context.Context, i int) {
 	b := r.boxes[i%len(r.boxes)]
 	random := rand.New(rand.NewPCG(r.cfg.Seed, uint64(1000+i)))
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true}}
+	client := &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost: 1, DisableCompression: true, IdleConnTimeout: maxIdle,
+	}}
 	defer client.CloseIdleConnections()
 	for n := 0; ctx.Err() == nil; n++ {
 		b, client := b, client
@@ -109,6 +111,10 @@
 	b.newestVersion = max(b.newestVersion, version)
 }
 
+// maxIdle is how long callers keep a connection without a request: four fifths of the idle timeout of the
+// configuration, after which boxes close it.
+const maxIdle = 12 * time.Second
+
 // sendRequest sends one request and records what its caller sees.
 func (r *run) sendRequest(client *http.Client, b *box, random *rand.Rand, a check.Answer) {
 	patience := maxRequestTime
