Upstream: an answer with a malformed head is not passed on

What callers saw: an answer in whose head the name of a field held a blank was passed on with that line. With "Content-Length : 14" or "Transfer-Encoding : chunked" the body was not the endpoint's. So were a status of 600 or 999, a version other than HTTP/1, control bytes in the reason, and chunks in HTTP/1.0. A malformed answer that said "not run" became a 503 for a request that had run, and its notices were believed.

Cause: heads were checked by http.ReadResponse alone. It lets blanks in names pass, checks neither the range of the status nor the rest of the status line, and drops Transfer-Encoding from an answer in HTTP/1.0.

Change: modules/httphead checks the bytes of each head between the connection and the parser, by RFC 9112, with httpguts for names and values. Whoever reads an answer gets an error before the end of a malformed head, so nothing in it can be used. The exchange fails as one that may have run: the connection is closed, a repeatable request goes elsewhere, any other gets 502, the endpoint is blamed, the request is not. One line, answer_malformed, names the request, the endpoint and the part. The bound on a head moved to the same place.

--- a/tests/mutants/bounds.go
+++ b/tests/mutants/bounds.go
@@ -6,12 +6,12 @@
 // boundMutants are faults by which a peer makes a box read or keep bytes without end, or keep closed connections.
 var boundMutants = []mutant{
 	{
-		name: "head_without_bound", file: "transport/upstream/conn.go", pkg: "./transport/upstream", args: only("TestHeadWithoutEndIsReadWhole"),
-		old: "if r.k.head.due {", fault: "if false {",
+		name: "head_without_bound", file: "modules/httphead/httphead.go", pkg: "./transport/upstream", args: only("TestHeadWithoutEndIsReadWhole"),
+		old: "		if size > r.left {", fault: "		if false {",
 	},
 	{
-		name: "body_counts_as_head", file: "transport/upstream/exchange.go", pkg: "./transport/upstream", args: only("TestLongBodyIsTakenForAHead"),
-		old: "	defer x.conn.endHead()\n", fault: "",
+		name: "body_counts_as_head", file: "modules/httphead/httphead.go", pkg: "./transport/upstream", args: only("TestLongBodyIsTakenForAHead"),
+		old: "r.due, r.complete, r.line = false, true, nil", fault: "r.complete, r.head = true, headState{begun: true}",
 	},
 	{
 		name: "error_quotes_a_peer", file: "coordination/adapter/bounds.go", pkg: "./transport/upstream", args: only("TestHeadWithoutEndIsReadWhole"),
--- a/transport/upstream/conn.go
+++ b/transport/upstream/conn.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"runridge.example/runridge/coordination/adapter"
+	"runridge.example/runridge/modules/httphead"
 )
 
 const readBuffer = 4 << 10
@@ -42,23 +43,17 @@
 	// this connection, in nanoseconds since 1970.
 	pool    *pool
 	heardAt atomic.Int64
-	// head bounds what is read of the connection while the head of an answer is due.
-	head headLimit
+	// answers checks the heads of the answers that reader reads.
+	answers *httphead.Reader
 }
 
-// headLimit bounds the bytes of the head of an answer, with all interim answers before it.
-type headLimit struct {
-	due  bool
-	left int
+// expectAnswer starts the check of the next answer, of which the reader may have read a part already.
+func (k *conn) expectAnswer() {
+	unread, _ := k.reader.Peek(k.reader.Buffered())
+	k.answers.Expect(unread)
+	k.reader.Reset(k.answers)
 }
 
-// errHeadTooLong is the error of an answer whose head has more than adapter.MaxAnswerHead bytes.
-var errHeadTooLong = errors.New("the head of the answer is too long")
-
-// beginHead starts to bound what is read, and endHead ends it.
-func (k *conn) beginHead() { k.head = headLimit{due: true, left: adapter.MaxAnswerHead} }
-func (k *conn) endHead()   { k.head = headLimit{} }
-
 func newConn(c *Client, key poolKey, raw net.Conn, via string) *conn {
 	k := &conn{client: c, key: key, raw: raw, idleFor: shortIdle, via: via}
 	if via == "" {
@@ -66,23 +61,17 @@
 		k.pool = c.pools[key]
 		c.mutex.Unlock()
 	}
-	k.reader = bufio.NewReaderSize(heardReader{k}, readBuffer)
+	k.answers = httphead.NewReader(heardReader{k}, adapter.MaxAnswerHead)
+	k.reader = bufio.NewReaderSize(k.answers, readBuffer)
 	return k
 }
 
-// heardReader reads from a connection, within its limit, and notes when the endpoint sent something.
+// heardReader reads from a connection and notes when the endpoint sent something.
 type heardReader struct{ k *conn }
 
 // Read reads from the connection.
 func (r heardReader) Read(p []byte) (int, error) {
-	if r.k.head.due {
-		if r.k.head.left <= 0 {
-			return 0, errHeadTooLong
-		}
-		p = p[:min(len(p), r.k.head.left)]
-	}
 	n, err := r.k.raw.Read(p)
-	r.k.head.left -= n
 	if n > 0 && r.k.pool != nil {
 		now := time.Now().UnixNano()
 		r.k.heardAt.Store(now)
--- a/transport/upstream/exchange.go
+++ b/transport/upstream/exchange.go
@@ -5,6 +5,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -17,6 +18,7 @@
 
 	"runridge.example/runridge/coordination/adapter"
 	"runridge.example/runridge/coordination/relay"
+	"runridge.example/runridge/modules/httphead"
 	"runridge.example/runridge/modules/log"
 	"runridge.example/runridge/protocol/relayapi"
 )
@@ -170,16 +172,12 @@
 // skipped; an answer without a request ID is an error unless this is a control call.
 func (x *exchange) read() (*http.Response, error) {
 	request := &http.Request{Method: x.call.Method}
-	x.conn.beginHead()
-	defer x.conn.endHead()
+	x.conn.expectAnswer()
 	for range maxStray {
 		resp, err := http.ReadResponse(x.conn.reader, request)
 		if err != nil {
 			return nil, x.headError(err)
 		}
-		if resp.StatusCode < http.StatusContinue || resp.StatusCode == http.StatusSwitchingProtocols {
-			return nil, errStatus
-		}
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
@@ -192,29 +190,30 @@
 		}
 		// A late answer to an earlier request arrived before ours.
 		x.stray = true
-		x.conn.endHead()
 		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStrayBytes)); err != nil {
 			return nil, err
 		}
-		x.conn.beginHead()
+		x.conn.expectAnswer()
 	}
 	return nil, errStrays
 }
 
-// headError returns the error of a head that could not be read, without what the endpoint sent. It logs one that
-// is too long.
+// headError returns the error of a head that could not be read, with at most the beginning of what the endpoint
+// sent. It logs one that is too long or malformed.
 func (x *exchange) headError(err error) error {
-	if !errors.Is(err, errHeadTooLong) {
-		return adapter.Shorten(err)
-	}
-	x.client.cfg.Log.WithFields(log.Fields{
-		log.FieldRequest: x.call.RequestID, log.FieldEngine: x.call.Endpoint.ID, "bytes": adapter.MaxAnswerHead,
-	}).Warn("answer_head_too_long")
-	return errHeadTooLong
+	err = cmp.Or(x.conn.answers.Err(), err)
+	line := x.client.cfg.Log.WithFields(log.Fields{log.FieldRequest: x.call.RequestID, log.FieldEngine: x.call.Endpoint.ID})
+	var malformed *httphead.MalformedError
+	switch {
+	case errors.Is(err, httphead.ErrTooLong):
+		line.WithField("bytes", adapter.MaxAnswerHead).Warn("answer_head_too_long")
+	case errors.As(err, &malformed):
+		line.WithField("part", malformed.Part).Warn("answer_malformed")
+	}
+	return adapter.Shorten(err)
 }
 
 var (
-	errStatus = errors.New("answer with an invalid status code")
 	errNoID   = errors.New("answer without a request ID")
 	errStrays = errors.New("too many answers to other requests")
 )
--- a/transport/upstream/fuzz_test.go
+++ b/transport/upstream/fuzz_test.go
@@ -11,11 +11,14 @@
 	"net"
 	"net/http"
 	"os"
+	"regexp"
+	"strings"
 	"testing"
 	"time"
 
 	"runridge.example/runridge/coordination/relay"
 	"runridge.example/runridge/protocol/relayapi"
+	"runridge.example/runridge/tests/peer"
 )
 
 // scriptedConn is a connection whose peer sends the given bytes and then either stays silent or
@@ -60,8 +63,40 @@
 	}
 }
 
+const (
+	tokenBytes = "!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"
+	// maxSurplus is how many of the bytes after an answer a failure shows.
+	maxSurplus = 100
+)
+
+// checkAccepted fails if an answer that was accepted has a status, a name or a value that HTTP does not allow. It
+// does not use the parsers under test.
+func checkAccepted(t *testing.T, a *relay.Answer) {
+	t.Helper()
+	if a.Status < 200 || a.Status > 599 {
+		t.Fatalf("status %d is accepted", a.Status)
+	}
+	for _, f := range a.Header {
+		if f.Name == "" || strings.Trim(f.Name, tokenBytes) != "" {
+			t.Fatalf("name %q is accepted", f.Name)
+		}
+		for _, b := range []byte(f.Value) {
+			if b < ' ' && b != '\t' || b == 0x7f {
+				t.Fatalf("value %q is accepted", f.Value)
+			}
+		}
+	}
+}
+
+var (
+	// http10Chunks matches the head of an answer in HTTP/1.0 in chunks, which has no known end.
+	http10Chunks = regexp.MustCompile(`(?is)^HTTP/1\.0 .*\ntransfer-encoding:`)
+	emptyLine    = regexp.MustCompile(`\n\r?\n`)
+)
+
 // FuzzAnswers checks that an exchange accepts no answer that a plain net/http reader doesn't
-// find in the same bytes, and that a connection with surplus bytes is never reused.
+// find in the same bytes, that the head of an accepted answer is sound, and that a connection with surplus bytes
+// is never reused.
 func FuzzAnswers(f *testing.F) {
 	const id = "r1"
 	for _, seed := range []string{
@@ -77,10 +112,16 @@
 		"HTTP/1.1 204 No Content\r\nRunridge-Request-Id: r1\r\n\r\nsurplus",
 		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
 		"no answer at all",
+		text("r0", "late") + "HTTP/1.1 200 OK\r\nX Foo: b\r\nRunridge-Request-Id: r1\r\nContent-Length: 2\r\n\r\nok",
 	} {
 		f.Add([]byte(seed), true)
 		f.Add([]byte(seed), false)
 	}
+	for _, answers := range []map[string]peer.RawAnswer{peer.MalformedAnswers(), peer.MendableAnswers()} {
+		for _, answer := range answers {
+			f.Add([]byte(answer.Text("Runridge-Request-Id: "+id)), answer.Framed)
+		}
+	}
 	f.Fuzz(func(t *testing.T, data []byte, closes bool) {
 		client := New(Config{Names: relayapi.Default()})
 		key := poolKey{address: "a", id: "e"}
@@ -91,10 +132,14 @@
 		if err != nil {
 			return
 		}
+		checkAccepted(t, a)
 		body, err := io.ReadAll(a.Body)
 		if err != nil {
 			return
 		}
+		if head := emptyLine.Split(string(data), 2)[0]; http10Chunks.MatchString(head) {
+			t.Fatalf("chunks in HTTP/1.0 are accepted: %q", data[:min(len(data), maxSurplus)])
+		}
 		status, want, rest, ok := expected(data, id)
 		if !ok {
 			t.Fatalf("status %d with %q is taken for whole", a.Status, body)
--- /dev/null
+++ b/transport/upstream/malformed_test.go
@@ -0,0 +1,99 @@
+// Copyright 2026 The Runridge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package upstream
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"testing"
+
+	"github.com/joomcode/errorx"
+
+	"runridge.example/runridge/coordination/adapter"
+	"runridge.example/runridge/coordination/notice"
+	"runridge.example/runridge/coordination/relay"
+	"runridge.example/runridge/modules/log"
+	"runridge.example/runridge/protocol/relayapi"
+	"runridge.example/runridge/tests/peer"
+)
+
+// rawFields are fields that an endpoint may set in an answer to request "1"; they must not be believed if the
+// answer is malformed.
+func rawFields() []string {
+	names := relayapi.Default()
+	return []string{names.RequestID + ": 1", names.Signature + ": s", names.NotRun + ": 1", names.Leaving + ": " + relayapi.LeavingYes}
+}
+
+// Guards against a malformed answer that reaches the caller, or is believed.
+func TestMalformedAnswerIsPassedOn(t *testing.T) {
+	for name, answer := range peer.MalformedAnswers() {
+		t.Run(name, func(t *testing.T) {
+			e := peer.Script(t, answer.Framed, func(*http.Request) string { return answer.Text(rawFields()...) })
+			notices := notice.New(notice.Config{Log: log.Discard()})
+			c := New(Config{Names: relayapi.Default(), Notices: notices})
+			ctx, cancel := context.WithTimeout(t.Context(), waitTimeout)
+			defer cancel()
+			a, err := c.Send(ctx, relay.Call{
+				Endpoint: relay.Endpoint{ID: "e", Address: e.Address}, Method: http.MethodGet, Target: "/", Host: "h", RequestID: "1",
+			})
+			if err == nil {
+				body, _ := io.ReadAll(a.Body)
+				t.Fatalf("status %d, fields %q, body %q", a.Status, a.Header, body)
+			}
+			if !errorx.IsOfType(err, adapter.ErrMayHaveRun) || adapter.BreakOf(err).Cut() {
+				t.Errorf("error %v, interrupted as %q", err, adapter.BreakOf(err))
+			}
+			if n := e.AwaitEnd(t); n != 0 {
+				t.Errorf("%d more bytes were sent on the connection", n)
+			}
+			if closed := notices.Closed(); len(closed) > 0 {
+				t.Errorf("a notice was believed: %+v", closed)
+			}
+		})
+	}
+}
+
+// Guards against an odd answer that is refused although its meaning is plain.
+func TestMendableAnswerIsRefused(t *testing.T) {
+	for name, answer := range peer.MendableAnswers() {
+		t.Run(name, func(t *testing.T) {
+			e := peer.Script(t, answer.Framed, func(*http.Request) string { return answer.Text(rawFields()...) })
+			ctx, cancel := context.WithTimeout(t.Context(), waitTimeout)
+			defer cancel()
+			a, err := client().Send(ctx, relay.Call{
+				Endpoint: relay.Endpoint{ID: "e", Address: e.Address}, Method: http.MethodGet, Target: "/", Host: "h", RequestID: "1",
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			body, err := io.ReadAll(a.Body)
+			if err != nil || string(body) != answer.Accepted() || !a.Signed {
+				t.Errorf("status %d, fields %q, body %q, error %v", a.Status, a.Header, body, err)
+			}
+			for _, f := range a.Header {
+				if f.Name == "X Foo" {
+					t.Error("a field of the trailer was passed on")
+				}
+			}
+		})
+	}
+}
+
+// Guards against a malformed answer that is accepted because an answer to another request came with it.
+func TestMalformedAnswerFollowsAStrayOne(t *testing.T) {
+	for name, answer := range peer.MalformedAnswers() {
+		t.Run(name, func(t *testing.T) {
+			e := peer.Script(t, answer.Framed, func(*http.Request) string { return text("0", "late") + answer.Text(rawFields()...) })
+			ctx, cancel := context.WithTimeout(t.Context(), waitTimeout)
+			defer cancel()
+			a, err := client().Send(ctx, relay.Call{
+				Endpoint: relay.Endpoint{ID: "e", Address: e.Address}, Method: http.MethodGet, Target: "/", Host: "h", RequestID: "1",
+			})
+			if err == nil {
+				t.Errorf("status %d, fields %q", a.Status, a.Header)
+			}
+		})
+	}
+}
