Own interface: an answer with a malformed head is not passed on

What callers saw: the answer of a plain service whose status was 000 came as 200, one of 099 or 999 as such, and names with blanks, bodies in raw chunks and answers of other versions as on routed services. Orders counted as done, or as not run, by such an answer, and its notices were believed. A 101 held its order beyond the deadline, until the engine closed the connection.

Cause: net/http's transport reads heads as leniently as http.ReadResponse, and the library towards callers writes a status of 0 as 200.

Change: httphead.Check puts the check of routed services between the connection and net/http's transport. A trace tells the connection when it is taken for a request, and so where a head begins. The first bytes of a malformed head are passed on: without them net/http takes the connection for an idle one that ended, and sends the request again by itself. An answer that was read before its request was sent is refused, since its head was not checked.

--- a/tests/mutants/bounds.go
+++ b/tests/mutants/bounds.go
@@ -19,7 +19,7 @@
 	},
 	{
 		name: "order_answer_without_bound", file: "transport/httpcall/httpcall.go", pkg: "./transport/httpcall", args: only("TestHeadWithoutEndIsReadWhole"),
-		old: "MaxResponseHeaderBytes: adapter.MaxAnswerHead", fault: "MaxResponseHeaderBytes: 16 * adapter.MaxAnswerHead",
+		old: "}, adapter.MaxAnswerHead),", fault: "}, 16*adapter.MaxAnswerHead),",
 	},
 	{
 		name: "discard_without_bound", file: "coordination/relay/types.go", pkg: "./transport/upstream", args: only("TestDiscardedBodyWithoutEndHoldsItsRequest"),
--- a/transport/httpcall/httpcall.go
+++ b/transport/httpcall/httpcall.go
@@ -15,6 +15,7 @@
 	"github.com/joomcode/errorx"
 
 	"runridge.example/runridge/coordination/adapter"
+	"runridge.example/runridge/modules/httphead"
 	"runridge.example/runridge/modules/socket"
 )
 
@@ -44,7 +45,7 @@
 func newClient(fresh bool) *http.Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: httphead.Check(&http.Transport{
 			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 				c, err := dialer.DialContext(ctx, network, address)
 				if err != nil {
@@ -59,9 +60,7 @@
 			IdleConnTimeout:     idleTimeout,
 			DisableKeepAlives:   fresh,
 			DisableCompression:  true,
-
-			MaxResponseHeaderBytes: adapter.MaxAnswerHead,
-		},
+		}, adapter.MaxAnswerHead),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
