Store: a malformed answer is no state of the store and no result of a write

What was seen: an answer of the store with a blank in a name, of another version, or with chunks in HTTP/1.0 counted. A list or a missing object in it was taken over, a conflict decided a lease, and its era was believed.

Cause: both clients of the store read through net/http's transport alone.

Such a call fails like one whose answer was lost: a write may have taken effect, and what is known stays in use.

--- a/transport/platformhttp/platformhttp.go
+++ b/transport/platformhttp/platformhttp.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"runridge.example/runridge/coordination/adapter"
+	"runridge.example/runridge/modules/httphead"
 	"runridge.example/runridge/modules/invalid"
 	"runridge.example/runridge/protocol/platformapi"
 )
@@ -44,7 +45,7 @@
 
 // New returns a client for the API at address, an IP address and port.
 func New(address string) *Client {
-	return &Client{address: address, http: &http.Client{Transport: &http.Transport{MaxResponseHeaderBytes: adapter.MaxAnswerHead}}}
+	return &Client{address: address, http: &http.Client{Transport: httphead.Check(&http.Transport{}, adapter.MaxAnswerHead)}}
 }
 
 // Observe sets the observer of the objects that are read. It is called before all other methods.
