runridgectl: a malformed answer is not shown as the status of a box

What operators saw: the status in an answer with a blank in a name, of another version or with chunks in HTTP/1.0 was printed.

Cause: the status was read by net/http's default client.

Change: it is read through httphead.Check, with its bound on the head.

"status 000" was an error before; it is the same typed one now.

--- a/cmd/runridgectl/report.go
+++ b/cmd/runridgectl/report.go
@@ -16,7 +16,9 @@
 
 	"github.com/jessevdk/go-flags"
 
+	"runridge.example/runridge/coordination/adapter"
 	"runridge.example/runridge/modules/command"
+	"runridge.example/runridge/modules/httphead"
 	"runridge.example/runridge/modules/invalid"
 	"runridge.example/runridge/transport/operatorhttp"
 )
@@ -74,7 +76,8 @@
 	if err != nil {
 		return s, err
 	}
-	resp, err := http.DefaultClient.Do(req)
+	client := http.Client{Transport: httphead.Check(&http.Transport{DisableKeepAlives: true}, adapter.MaxAnswerHead)}
+	resp, err := client.Do(req)
 	if err != nil {
 		return s, err
 	}
