--- a/bench/soak/check/answers.go
+++ b/bench/soak/check/answers.go
@@ -14,6 +14,7 @@
 // checkAnswer compares what one caller saw with what endpoints ran.
 func (v *verifier) checkAnswer(a *Answer) {
 	runs := v.countRuns(a.ID)
+	v.report.Count("sound_head", a.Malformed == "", "%s at %s on %s: %s", a.ID, a.Box, a.Route, a.Malformed)
 	if a.Answered() {
 		v.report.Count("whole_own_answer", a.Mismatch == "", "%s at %s on %s: %s", a.ID, a.Box, a.Route, a.Mismatch)
 		v.report.Count("answered_by_a_run", runs > 0, "%s at %s on %s was answered and never ran", a.ID, a.Box, a.Route)
--- a/bench/soak/check/check.go
+++ b/bench/soak/check/check.go
@@ -21,6 +21,8 @@
 	// describes what is wrong with its content, or is empty.
 	Complete bool
 	Mismatch string
+	// Malformed describes what is malformed in its head, or is empty.
+	Malformed string
 	// Timeout is the time limit that its route sets for the request.
 	Timeout      time.Duration
 	Begun, Ended time.Time
--- a/bench/soak/check/check_test.go
+++ b/bench/soak/check/check_test.go
@@ -102,6 +102,7 @@
 		broken string
 	}{
 		"no violation":                {Record{Answers: []Answer{goodAnswer()}, Observed: standin.LedgerSnapshot{Arrivals: []standin.Arrival{prefill, runArrival(id, 10)}}}, ""},
+		"a malformed head":            {Record{Answers: with(func(a *Answer) { a.Malformed = "x" }), Observed: standin.LedgerSnapshot{Arrivals: []standin.Arrival{runArrival(id, 10)}}}, "sound_head"},
 		"another's answer":            {Record{Answers: with(func(a *Answer) { a.Mismatch = "x" }), Observed: standin.LedgerSnapshot{Arrivals: []standin.Arrival{runArrival(id, 10)}}}, "whole_own_answer"},
 		"answered without a run":      {Record{Answers: []Answer{goodAnswer()}}, "answered_by_a_run"},
 		"refused and ran":             {Record{Answers: with(func(a *Answer) { a.Status = 503 }), Observed: standin.LedgerSnapshot{Arrivals: []standin.Arrival{runArrival(id, 10)}}}, "not_run_is_true"},
--- a/bench/soak/load.go
+++ b/bench/soak/load.go
@@ -155,6 +155,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	a.Status = resp.StatusCode
+	a.Malformed = malformedHead(resp)
 	body, err := io.ReadAll(resp.Body)
 	a.Complete = err == nil
 	a.RefusedAsPoison = strings.Contains(string(body), string(lifecycle.ReasonPoison))
@@ -163,6 +164,23 @@
 	}
 }
 
+// tokenBytes are the bytes of names of fields.
+const tokenBytes = "!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"
+
+// malformedHead describes what is malformed in the head of an answer, beyond what its parser refuses. It is empty
+// if nothing is.
+func malformedHead(resp *http.Response) string {
+	if resp.StatusCode < http.StatusOK || resp.StatusCode > 599 || resp.ProtoMajor != 1 {
+		return "malformed status line: " + resp.Proto + " " + resp.Status
+	}
+	for name := range resp.Header {
+		if name == "" || strings.Trim(name, tokenBytes) != "" {
+			return "malformed name of a field: " + strconv.Quote(name)
+		}
+	}
+	return ""
+}
+
 // mismatch describes what is wrong with a complete answer. It is empty if nothing is.
 func mismatch(a *check.Answer, signer, body string) string {
 	if !isStream(a.Route) {
--- a/bench/soak/schedule/schedule.go
+++ b/bench/soak/schedule/schedule.go
@@ -84,6 +84,8 @@
 	// that end within an event.
 	EndpointUnframed    Kind = "endpoint_answers_unframed"
 	EndpointUnframedCut Kind = "endpoint_cuts_unframed"
+	// EndpointMalformed has an endpoint send answers whose heads are malformed.
+	EndpointMalformed Kind = "endpoint_answers_malformed"
 	// CallersCrowd has nearly all callers open new connections to one box.
 	CallersCrowd Kind = "callers_crowd_box"
 	// StrayEntries has another writer write entries that cannot be read, some of them each second, and
@@ -170,6 +172,7 @@
 	PoisonPart:          {weight: 3, minDuration: 20 * second, jitter: 4 * second},
 	EndpointUnframed:    {target: OnPlace, weight: 2, minDuration: second, jitter: 4 * second},
 	EndpointUnframedCut: {target: OnPlace, weight: 2, minDuration: second, jitter: 4 * second},
+	EndpointMalformed:   {target: OnPlace, weight: 4, minDuration: second, jitter: 4 * second},
 	CallersCrowd:        {target: OnBox, weight: 4, minDuration: 6 * second, jitter: 4 * second},
 	EndpointReleased:    {target: OnPlace, weight: 6, minDuration: 4 * second, jitter: 2 * second},
 	EndpointUnlisted:    {target: OnPlace, weight: 4, minDuration: 6 * second, jitter: 4 * second},
@@ -179,7 +182,7 @@
 
 // optional are the kinds that are drawn only if they are asked for. Kinds that were added
 // later are here too, so that a seed still draws the schedule that it drew before.
-var optional = []Kind{ZoneDrained, TransfersStalled, PoisonRequest, EndpointLimited, EndpointTired, EndpointParting, StoreOlder, EndpointsLost, EndpointReleased, PoisonPart, EndpointUnframed, EndpointUnframedCut, CallersCrowd, StrayEntries, EndpointUnlisted}
+var optional = []Kind{ZoneDrained, TransfersStalled, PoisonRequest, EndpointLimited, EndpointTired, EndpointParting, StoreOlder, EndpointsLost, EndpointReleased, PoisonPart, EndpointUnframed, EndpointUnframedCut, CallersCrowd, StrayEntries, EndpointUnlisted, EndpointMalformed}
 
 // ByDefault returns the kinds that are drawn for routed services unless others are asked for:
 // all except those that need an optional feature of a deployment and those that were added
--- a/bench/soak/streams.go
+++ b/bench/soak/streams.go
@@ -122,6 +122,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	a.Status = resp.StatusCode
+	a.Malformed = malformedHead(resp)
 	if a.Status != http.StatusOK {
 		return ""
 	}
--- a/tests/peer/answers.go
+++ b/tests/peer/answers.go
@@ -210,3 +210,27 @@
 	})
 	return s
 }
+
+// MalformedChunks returns, by what is wrong with them, bodies in chunks that no reader may take for whole.
+func MalformedChunks() map[string]string {
+	const chunk = "e\r\n" + RawBody + "\r\n"
+	return map[string]string{
+		"no size":                        "\r\n" + RawBody + "\r\n0\r\n\r\n",
+		"size that is no number":         "x\r\n" + RawBody + "\r\n0\r\n\r\n",
+		"size with a sign":               "+e\r\n" + RawBody + "\r\n0\r\n\r\n",
+		"size with a prefix":             "0xe\r\n" + RawBody + "\r\n0\r\n\r\n",
+		"size that is too large":         "fffffffffffffffff\r\n" + RawBody + "\r\n0\r\n\r\n",
+		"blank before the size":          " e\r\n" + RawBody + "\r\n0\r\n\r\n",
+		"size below the bytes":           "5\r\n" + RawBody + "\r\n0\r\n\r\n",
+		"size above the bytes":           "f\r\n" + RawBody + "\r\n0\r\n\r\n",
+		"line feed alone after the size": "e\n" + RawBody + "\r\n0\r\n\r\n",
+		"carriage return in the size":    "e\r;x\r\n" + RawBody + "\r\n0\r\n\r\n",
+		"zero byte after the size":       "e\x00\r\n" + RawBody + "\r\n0\r\n\r\n",
+		"no end":                         chunk,
+		"no end of the last chunk":       chunk + "0\r\n",
+		"trailer without a colon":        chunk + "0\r\nX-Foo\r\n\r\n",
+		"trailer, control byte in name":  chunk + "0\r\nX\x01Foo: b\r\n\r\n",
+		"trailer, control byte in value": chunk + "0\r\nX-Foo: \x01\r\n\r\n",
+		"trailer without an end":         chunk + "0\r\nX-Foo: b\r\n",
+	}
+}
--- a/transport/httpcall/malformed_test.go
+++ b/transport/httpcall/malformed_test.go
@@ -146,3 +146,21 @@
 		}
 	}
 }
+
+// Guards against a body in malformed chunks that looks whole.
+func TestMalformedChunksLookWhole(t *testing.T) {
+	for kind, client := range both(t) {
+		for name, chunks := range peer.MalformedChunks() {
+			t.Run(kind+"/"+name, func(t *testing.T) {
+				answer := peer.RawAnswer{Fields: []string{"Transfer-Encoding: chunked"}, Framed: true, Body: chunks}
+				e := peer.Script(t, true, func(*http.Request) string { return answer.Text() })
+				if status, body, err := get(t, client, e.Address); err == nil {
+					t.Errorf("status %d, body %q is taken for whole", status, body)
+				}
+				if n := e.AwaitEnd(t); n != 0 {
+					t.Errorf("%d more bytes were sent on the connection", n)
+				}
+			})
+		}
+	}
+}
--- a/transport/upstream/malformed_test.go
+++ b/transport/upstream/malformed_test.go
@@ -97,3 +97,27 @@
 		})
 	}
 }
+
+// Guards against a body in malformed chunks that looks whole.
+func TestMalformedChunksLookWhole(t *testing.T) {
+	for name, chunks := range peer.MalformedChunks() {
+		t.Run(name, func(t *testing.T) {
+			answer := peer.RawAnswer{Fields: []string{"Transfer-Encoding: chunked"}, Framed: true, Body: chunks}
+			e := peer.Script(t, true, func(*http.Request) string { return answer.Text(rawFields()...) })
+			ctx, cancel := context.WithTimeout(t.Context(), waitTimeout)
+			defer cancel()
+			a, err := client().Send(ctx, relay.Call{
+				Endpoint: relay.Endpoint{ID: "e", Address: e.Address}, Method: http.MethodGet, Target: "/", Host: "h", RequestID: "1",
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if body, err := io.ReadAll(a.Body); err == nil {
+				t.Errorf("body %q is taken for whole", body)
+			}
+			if n := e.AwaitEnd(t); n != 0 {
+				t.Errorf("%d more bytes were sent on the connection", n)
+			}
+		})
+	}
+}
