Upstream: an answer whose framing the parser refuses is logged as malformed too

Cause: answer_malformed was logged for what httphead refuses, and not for lengths that differ or encodings that are not known, which the parser refuses.

Change: if all lines of a head were sound and the parser refused it, the part is framing. What callers get is unchanged: such answers were refused before. Unused fields of the tests' answers are gone.

TestMalformedAnswerReachesCaller passes with two more such forms.

--- a/tests/peer/answers.go
+++ b/tests/peer/answers.go
@@ -19,14 +19,13 @@
 	Interim string
 	// Status is the status line; empty means "HTTP/1.1 200 OK".
 	Status string
-	// Fields are the lines of the head that vary; Framed sets them apart from those of a whole answer.
+	// Fields are lines of the head.
 	Fields []string
-	// Framed reports that the fields frame the body; otherwise a Content-Length does.
+	// Framed reports that the fields or the end of the connection frame the body; otherwise a Content-Length is
+	// added.
 	Framed bool
 	// Body is the body as it is written; empty means RawBody.
 	Body string
-	// Want is the body that a reader gets if it accepts the answer; empty means RawBody.
-	Want string
 }
 
 // RawBody is the body of a RawAnswer.
@@ -52,14 +51,6 @@
 	return a.Interim + strings.Join(lines, "\r\n") + "\r\n\r\n" + body
 }
 
-// Accepted returns the body that a reader of the answer gets.
-func (a RawAnswer) Accepted() string {
-	if a.Want == "" {
-		return RawBody
-	}
-	return a.Want
-}
-
 func withField(line string) RawAnswer    { return RawAnswer{Fields: []string{line}} }
 func withStatus(status string) RawAnswer { return RawAnswer{Status: status} }
 
@@ -130,7 +121,8 @@
 	}
 }
 
-// MendableAnswers returns, by what is odd about them, answers that a proxy may mend and pass on (RFC 9112).
+// MendableAnswers returns, by what is odd about them, answers that a proxy may mend and pass on (RFC 9112). Their
+// readers get RawBody.
 func MendableAnswers() map[string]RawAnswer {
 	return map[string]RawAnswer{
 		"plain":                        {},
--- a/tests/routed/malformed_test.go
+++ b/tests/routed/malformed_test.go
@@ -17,7 +17,7 @@
 // malformedForms are the names of the malformed answers that whole boxes are tested with.
 var malformedForms = []string{
 	"blank in a name", "blank after a name", "control byte in a name", "blank after Content-Length", "blank after Transfer-Encoding",
-	"status 000", "status 999", "chunks in version 1.0", "version 2.0", "interim answer, name", "rejected, blank in a name",
+	"status 000", "status 999", "chunks in version 1.0", "version 2.0", "interim answer, name", "rejected, blank in a name", "two lengths", "encoding not known",
 }
 
 // malformedEndpoint adds an endpoint whose answers have a form, and further fields.
--- a/transport/httpcall/malformed_test.go
+++ b/transport/httpcall/malformed_test.go
@@ -76,7 +76,7 @@
 		for name, answer := range peer.MendableAnswers() {
 			t.Run(kind+"/"+name, func(t *testing.T) {
 				e := peer.Script(t, answer.Framed, func(*http.Request) string { return answer.Text() })
-				if status, body, err := get(t, client, e.Address); err != nil || body != answer.Accepted() {
+				if status, body, err := get(t, client, e.Address); err != nil || body != peer.RawBody {
 					t.Errorf("status %d, body %q, error %v", status, body, err)
 				}
 			})
--- a/transport/upstream/exchange.go
+++ b/transport/upstream/exchange.go
@@ -198,10 +198,13 @@
 	return nil, errStrays
 }
 
-// headError returns the error of a head that could not be read, with at most the beginning of what the endpoint
-// sent. It logs one that is too long or malformed.
+// headError returns the error of a head that could not be read. It logs one that is too long or malformed.
 func (x *exchange) headError(err error) error {
 	err = cmp.Or(x.conn.answers.Err(), err)
+	if x.conn.answers.Complete() {
+		// All lines are sound, so the parser has refused how they frame the body.
+		err = &httphead.MalformedError{Part: httphead.PartFraming}
+	}
 	line := x.client.cfg.Log.WithFields(log.Fields{log.FieldRequest: x.call.RequestID, log.FieldEngine: x.call.Endpoint.ID})
 	var malformed *httphead.MalformedError
 	switch {
--- a/transport/upstream/malformed_test.go
+++ b/transport/upstream/malformed_test.go
@@ -69,7 +69,7 @@
 				t.Fatal(err)
 			}
 			body, err := io.ReadAll(a.Body)
-			if err != nil || string(body) != answer.Accepted() || !a.Signed {
+			if err != nil || string(body) != peer.RawBody || !a.Signed {
 				t.Errorf("status %d, fields %q, body %q, error %v", a.Status, a.Header, body, err)
 			}
 			for _, f := range a.Header {
