Upstream: test that orders and reports do not believe malformed answers

Cause: orders, reports and releases of results go through the same exchange as requests, and no test played a malformed answer to one.

--- a/transport/upstream/malformed_test.go
+++ b/transport/upstream/malformed_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"testing"
@@ -14,6 +15,7 @@
 	"runridge.example/runridge/coordination/adapter"
 	"runridge.example/runridge/coordination/notice"
 	"runridge.example/runridge/coordination/relay"
+	"runridge.example/runridge/coordination/stages"
 	"runridge.example/runridge/modules/log"
 	"runridge.example/runridge/protocol/relayapi"
 	"runridge.example/runridge/tests/peer"
@@ -121,3 +123,46 @@
 		})
 	}
 }
+
+// Guards against an order to an engine that counts as taken or as refused, or a report that is used, by a
+// malformed answer.
+func TestMalformedAnswerToAnOrderIsBelieved(t *testing.T) {
+	names := relayapi.Default()
+	calls := map[string]func(ctx context.Context, c *Client, e stages.Engine) error{
+		"order": func(ctx context.Context, c *Client, e stages.Engine) error { return c.Order(ctx, e, stages.Order{}) },
+		"report": func(ctx context.Context, c *Client, e stages.Engine) error {
+			_, err := c.Report(ctx, e)
+			return err
+		},
+		"release of a result": func(ctx context.Context, c *Client, e stages.Engine) error {
+			return c.Free(ctx, relay.Endpoint{ID: e.ID, Address: e.Address}, "handle")
+		},
+	}
+	const body = `{"stage":"prefill","taken":1}`
+	answers := map[string]peer.RawAnswer{
+		"taken":   {Fields: []string{"X Foo: b"}, Framed: true, Body: body},
+		"refused": {Status: "HTTP/1.1 409 Conflict", Fields: []string{"X-Foo : b"}, Framed: true, Body: body},
+		"gone":    {Status: "HTTP/1.1 421 Misdirected", Fields: []string{"X Foo: b"}, Framed: true, Body: body},
+		"chunks":  {Status: "HTTP/1.0 200 OK", Fields: []string{"Transfer-Encoding: chunked"}, Framed: true, Body: body},
+		"version": {Status: "HTTP/2.0 200 OK", Framed: true, Body: body},
+		"status":  {Status: "HTTP/1.1 000 OK", Framed: true, Body: body},
+	}
+	for kind, call := range calls {
+		for name, answer := range answers {
+			t.Run(kind+"/"+name, func(t *testing.T) {
+				e := peer.Script(t, true, func(*http.Request) string { return answer.Text(names.Leaving + ": " + relayapi.LeavingYes) })
+				notices := notice.New(notice.Config{Log: log.Discard()})
+				c := New(Config{Names: names, Notices: notices})
+				ctx, cancel := context.WithTimeout(t.Context(), waitTimeout)
+				defer cancel()
+				err := call(ctx, c, stages.Engine{ID: "e", Address: e.Address})
+				if !errorx.IsOfType(err, adapter.ErrMayHaveRun) || errors.Is(err, stages.ErrRefused) {
+					t.Errorf("error %v", err)
+				}
+				if n := e.AwaitEnd(t); n != 0 || len(notices.Closed()) > 0 {
+					t.Errorf("%d more bytes were sent, %d notices believed", n, len(notices.Closed()))
+				}
+			})
+		}
+	}
+}
