Deliberate faults: an error that quotes a peer is looked for where one still can

Change: it is looked for in the client of the platform, whose errors quote the body of a failed call, by a test with the same bound of 1,000 bytes. The bound in TestHeadWithoutEndIsReadWhole stays.

--- a/tests/mutants/bounds.go
+++ b/tests/mutants/bounds.go
@@ -14,7 +14,7 @@
 		old: "r.due, r.complete, r.line = false, true, nil", fault: "r.complete, r.head = true, headState{begun: true}",
 	},
 	{
-		name: "error_quotes_a_peer", file: "coordination/adapter/bounds.go", pkg: "./transport/upstream", args: only("TestHeadWithoutEndIsReadWhole"),
+		name: "error_quotes_a_peer", file: "coordination/adapter/bounds.go", pkg: "./transport/platformhttp", args: only("TestErrorHoldsWhatThePlatformSent"),
 		old: "maxErrorText = 200", fault: "maxErrorText = 200 << 10",
 	},
 	{
--- a/transport/platformhttp/platformhttp_test.go
+++ b/transport/platformhttp/platformhttp_test.go
@@ -4,12 +4,15 @@
 package platformhttp
 
 import (
+	"bytes"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
 
 	"github.com/smartystreets/goconvey/convey"
+
+	"runridge.example/runridge/coordination/adapter"
 )
 
 // observed counts the entries that could not be read, by name.
@@ -21,6 +24,31 @@
 	}
 }
 
+// Guards against an error, and so a log line, that holds all that the platform sent.
+func TestErrorHoldsWhatThePlatformSent(t *testing.T) {
+	cases := map[string]http.HandlerFunc{
+		"a long body": func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(http.StatusInternalServerError)
+			_, _ = w.Write(bytes.Repeat([]byte("x"), adapter.MaxAnswerHead))
+		},
+		"a long field": func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("X-Long", strings.Repeat("x", 2*adapter.MaxAnswerHead))
+		},
+	}
+	for name, handle := range cases {
+		t.Run(name, func(t *testing.T) {
+			server := httptest.NewServer(handle)
+			defer server.Close()
+			client := New(strings.TrimPrefix(server.URL, "http://"))
+			defer client.Close()
+			_, err := client.Boxes(t.Context())
+			if err == nil || len(err.Error()) > 1000 {
+				t.Errorf("error %.100v", err)
+			}
+		})
+	}
+}
+
 // Guards against one unreadable entry that hides all boxes.
 func TestUnreadableBoxHidesOthers(t *testing.T) {
 	const sound = `{"name":"box-1","address":"10.0.0.1:80","zone":"z"}`
