Malformed answers: what stood twice serves once

Cause: reading the whole change again. The soak had a table of the bytes of names beside httpguts; four tests of an exchange sent the same request by the same lines; two tests of plain services each wrote a text and closed its connection; a loop gathered the keys of a map; an error was tested twice in RoundTrip.

Change: httpguts in the soak, sendFirst, writeAndClose, maps.Keys, one test of the error. Assertions, bounds and behaviour are the same.

Run on this: format, lint, and with the race detector the packages touched and the malformed and cut tests of whole boxes, green.

--- a/bench/soak/load.go
+++ b/bench/soak/load.go
@@ -13,6 +13,8 @@
 	"strings"
 	"time"
 
+	"golang.org/x/net/http/httpguts"
+
 	"runridge.example/runridge/bench/soak/check"
 	"runridge.example/runridge/platform/standin"
 	"runridge.example/runridge/state/lifecycle"
@@ -164,9 +166,6 @@
 	}
 }
 
-// tokenBytes are the bytes of names of fields.
-const tokenBytes = "!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"
-
 // malformedHead describes what is malformed in the head of an answer, beyond what its parser refuses. It is empty
 // if nothing is.
 func malformedHead(resp *http.Response) string {
@@ -174,7 +173,7 @@
 		return "malformed status line: " + resp.Proto + " " + resp.Status
 	}
 	for name := range resp.Header {
-		if name == "" || strings.Trim(name, tokenBytes) != "" {
+		if !httpguts.ValidHeaderFieldName(name) {
 			return "malformed name of a field: " + strconv.Quote(name)
 		}
 	}
--- a/modules/httphead/transport.go
+++ b/modules/httphead/transport.go
@@ -56,10 +56,10 @@
 		used.answers.Expect(nil)
 	}}
 	resp, err := t.base.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
-	if err != nil && used != nil {
-		return nil, cmp.Or(used.answers.Err(), err)
-	}
 	if err != nil {
+		if used != nil {
+			err = cmp.Or(used.answers.Err(), err)
+		}
 		return nil, err
 	}
 	if !used.answers.Complete() {
--- a/tests/integration/cut_test.go
+++ b/tests/integration/cut_test.go
@@ -18,6 +18,14 @@
 	"runridge.example/runridge/tests/peer"
 )
 
+// writeAndClose returns a function that sends a text on a connection and closes it.
+func writeAndClose(text string) func(c *net.TCPConn) {
+	return func(c *net.TCPConn) {
+		_, _ = io.WriteString(c, text)
+		_ = c.Close()
+	}
+}
+
 // Guards against an answer of a plain service that was cut and ends at the caller as a whole one does.
 func TestCutAnswerOfPlainServiceLooksWhole(t *testing.T) {
 	const (
@@ -25,12 +33,6 @@
 		ok      = "HTTP/1.1 200 OK\r\n"
 		part    = "a part of an answer"
 	)
-	write := func(text string) func(c *net.TCPConn) {
-		return func(c *net.TCPConn) {
-			_, _ = io.WriteString(c, text)
-			_ = c.Close()
-		}
-	}
 	reset := func(text string) func(c *net.TCPConn) {
 		return func(c *net.TCPConn) {
 			_, _ = io.WriteString(c, text)
@@ -44,14 +46,14 @@
 		body   int
 		whole  bool
 	}{
-		"short of its length":               {answer: write(ok + "Content-Length: 100\r\n\r\n" + part)},
-		"chunks without an end":             {answer: write(ok + "Transfer-Encoding: chunked\r\n\r\n13\r\n" + part + "\r\n")},
+		"short of its length":               {answer: writeAndClose(ok + "Content-Length: 100\r\n\r\n" + part)},
+		"chunks without an end":             {answer: writeAndClose(ok + "Transfer-Encoding: chunked\r\n\r\n13\r\n" + part + "\r\n")},
 		"reset, without a length":           {answer: reset(ok + "\r\n" + part)},
 		"reset, while a body is sent":       {answer: reset(ok + "\r\n" + part), body: longest},
-		"whole, with a length":              {answer: write(ok + "Content-Length: 19\r\n\r\n" + part), whole: true},
-		"whole, in chunks":                  {answer: write(ok + "Transfer-Encoding: chunked\r\n\r\n13\r\n" + part + "\r\n0\r\n\r\n"), whole: true},
-		"whole, without a length":           {answer: write(ok + "\r\n" + part), whole: true},
-		"whole, of a request for the heads": {answer: write(ok + "Content-Length: 19\r\n\r\n"), whole: true, body: -1},
+		"whole, with a length":              {answer: writeAndClose(ok + "Content-Length: 19\r\n\r\n" + part), whole: true},
+		"whole, in chunks":                  {answer: writeAndClose(ok + "Transfer-Encoding: chunked\r\n\r\n13\r\n" + part + "\r\n0\r\n\r\n"), whole: true},
+		"whole, without a length":           {answer: writeAndClose(ok + "\r\n" + part), whole: true},
+		"whole, of a request for the heads": {answer: writeAndClose(ok + "Content-Length: 19\r\n\r\n"), whole: true, body: -1},
 	}
 	convey.Convey("The caller gets an error unless the answer is whole", t, func() {
 		f := startFleet(t, 1)
--- a/tests/integration/malformed_test.go
+++ b/tests/integration/malformed_test.go
@@ -5,9 +5,9 @@
 
 import (
 	"context"
-	"io"
-	"net"
+	"maps"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -28,10 +28,7 @@
 			f.Plain[name].TakeOver(nil)
 			continue
 		}
-		f.Plain[name].TakeOver(func(c *net.TCPConn) {
-			_, _ = io.WriteString(c, text)
-			_ = c.Close()
-		})
+		f.Plain[name].TakeOver(writeAndClose(text))
 	}
 }
 
@@ -81,10 +78,4 @@
 }
 
 // plainNames returns the names of all plain services of a fleet.
-func plainNames(f *fleet.Fleet) []string {
-	var names []string
-	for name := range f.Plain {
-		names = append(names, name)
-	}
-	return names
-}
+func plainNames(f *fleet.Fleet) []string { return slices.Collect(maps.Keys(f.Plain)) }
--- a/transport/upstream/malformed_test.go
+++ b/transport/upstream/malformed_test.go
@@ -28,6 +28,16 @@
 	return []string{names.RequestID + ": 1", names.Signature + ": s", names.NotRun + ": 1", names.Leaving + ": " + relayapi.LeavingYes}
 }
 
+// sendFirst sends request "1" to a scripted endpoint.
+func sendFirst(t *testing.T, c *Client, e *peer.Scripted) (*relay.Answer, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), waitTimeout)
+	t.Cleanup(cancel)
+	return c.Send(ctx, relay.Call{
+		Endpoint: relay.Endpoint{ID: "e", Address: e.Address}, Method: http.MethodGet, Target: "/", Host: "h", RequestID: "1",
+	})
+}
+
 // Guards against a malformed answer that reaches the caller, or is believed.
 func TestMalformedAnswerIsPassedOn(t *testing.T) {
 	for name, answer := range peer.MalformedAnswers() {
@@ -35,11 +45,7 @@
 			e := peer.Script(t, answer.Framed, func(*http.Request) string { return answer.Text(rawFields()...) })
 			notices := notice.New(notice.Config{Log: log.Discard()})
 			c := New(Config{Names: relayapi.Default(), Notices: notices})
-			ctx, cancel := context.WithTimeout(t.Context(), waitTimeout)
-			defer cancel()
-			a, err := c.Send(ctx, relay.Call{
-				Endpoint: relay.Endpoint{ID: "e", Address: e.Address}, Method: http.MethodGet, Target: "/", Host: "h", RequestID: "1",
-			})
+			a, err := sendFirst(t, c, e)
 			if err == nil {
 				body, _ := io.ReadAll(a.Body)
 				t.Fatalf("status %d, fields %q, body %q", a.Status, a.Header, body)
@@ -62,11 +68,7 @@
 	for name, answer := range peer.MendableAnswers() {
 		t.Run(name, func(t *testing.T) {
 			e := peer.Script(t, answer.Framed, func(*http.Request) string { return answer.Text(rawFields()...) })
-			ctx, cancel := context.WithTimeout(t.Context(), waitTimeout)
-			defer cancel()
-			a, err := client().Send(ctx, relay.Call{
-				Endpoint: relay.Endpoint{ID: "e", Address: e.Address}, Method: http.MethodGet, Target: "/", Host: "h", RequestID: "1",
-			})
+			a, err := sendFirst(t, client(), e)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -88,11 +90,7 @@
 	for name, answer := range peer.MalformedAnswers() {
 		t.Run(name, func(t *testing.T) {
 			e := peer.Script(t, answer.Framed, func(*http.Request) string { return text("0", "late") + answer.Text(rawFields()...) })
-			ctx, cancel := context.WithTimeout(t.Context(), waitTimeout)
-			defer cancel()
-			a, err := client().Send(ctx, relay.Call{
-				Endpoint: relay.Endpoint{ID: "e", Address: e.Address}, Method: http.MethodGet, Target: "/", Host: "h", RequestID: "1",
-			})
+			a, err := sendFirst(t, client(), e)
 			if err == nil {
 				t.Errorf("status %d, fields %q", a.Status, a.Header)
 			}
@@ -106,11 +104,7 @@
 		t.Run(name, func(t *testing.T) {
 			answer := peer.RawAnswer{Fields: []string{"Transfer-Encoding: chunked"}, Framed: true, Body: chunks}
 			e := peer.Script(t, true, func(*http.Request) string { return answer.Text(rawFields()...) })
-			ctx, cancel := context.WithTimeout(t.Context(), waitTimeout)
-			defer cancel()
-			a, err := client().Send(ctx, relay.Call{
-				Endpoint: relay.Endpoint{ID: "e", Address: e.Address}, Method: http.MethodGet, Target: "/", Host: "h", RequestID: "1",
-			})
+			a, err := sendFirst(t, client(), e)
 			if err != nil {
 				t.Fatal(err)
 			}
