--- a/review/_kit2/server.go
+++ b/review/_kit2/server.go
@@ -18,6 +18,7 @@
 type server struct {
 	site             *site
 	id, service      string
+	version          string
 	zone, stage      string
 	slots            int
 	listener         net.Listener
@@ -33,14 +34,19 @@
 	address string
 }
 
-// startServer starts a server and writes its entry.
+// startServer starts a server of the first software version.
 func (s *site) startServer(id, service, zone, stage string, slots int, answer func(e *server, w http.ResponseWriter, r *http.Request, body string)) *server {
+	return s.startServerOf("v1", id, service, zone, stage, slots, answer)
+}
+
+// startServerOf starts a server of a software version and writes its entry.
+func (s *site) startServerOf(version, id, service, zone, stage string, slots int, answer func(e *server, w http.ResponseWriter, r *http.Request, body string)) *server {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		panic(err)
 	}
 	e := &server{
-		site: s, id: id, service: service, zone: zone, stage: stage, slots: slots, listener: l, answer: answer, runs: make(map[string]int),
+		site: s, id: id, version: version, service: service, zone: zone, stage: stage, slots: slots, listener: l, answer: answer, runs: make(map[string]int),
 	}
 	e.http = &http.Server{Handler: http.HandlerFunc(e.handle)}
 	go func() { _ = e.http.Serve(l) }()
@@ -85,7 +91,7 @@
 		address = e.listener.Addr().String()
 	}
 	spec := map[string]any{
-		"service": e.service, "address": address, "zone": e.zone, "version": "v1", "slots": e.slots,
+		"service": e.service, "address": address, "zone": e.zone, "version": e.version, "slots": e.slots,
 		"state": state, "cold_remaining_ms": 0, "sequence": e.sequence,
 	}
 	if e.stage != "" {
--- a/review/_kit2/site.go
+++ b/review/_kit2/site.go
@@ -6,7 +6,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -124,13 +123,21 @@
 	machine *machine
 }
 
-// The ports of routers lie below those that the system gives to outgoing connections.
-const firstPort, ports = 12000, 18000
+// The ports of routers lie below those that the system gives to outgoing connections. Each process of the
+// kit takes them from a range of its own.
+const (
+	firstPort   = 12000
+	portRanges  = 200
+	portsOfEach = 100
+)
+
+var nextPort = firstPort + os.Getpid()%portRanges*portsOfEach
 
 // freeAddress returns a loopback address with a port that is free now.
 func freeAddress() string {
-	for {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.N(ports))
+	for range portsOfEach {
+		address := fmt.Sprintf("127.0.0.1:%d", nextPort)
+		nextPort++
 		l, err := net.Listen("tcp", address)
 		if err != nil {
 			continue
@@ -138,6 +145,7 @@
 		_ = l.Close()
 		return address
 	}
+	panic("no free port")
 }
 
 // startRouters starts routers in the given zones and waits until all say that they are ready.
@@ -150,7 +158,8 @@
 	}
 	for _, r := range s.routers {
 		if !r.awaitReady(20 * time.Second) {
-			panic(r.name + " is not ready")
+			logs, _ := os.ReadFile(r.logPath())
+			panic(r.name + " is not ready: " + string(logs[max(len(logs)-2000, 0):]))
 		}
 	}
 	// Routers find each other through the store within some seconds.
@@ -185,9 +194,11 @@
 	return r
 }
 
+func (r *router) logPath() string { return filepath.Join(r.site.folder, r.name+".log") }
+
 // start starts the process with the command of the deploy file.
 func (r *router) start() {
-	logs, err := os.OpenFile(filepath.Join(r.site.folder, r.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	logs, err := os.OpenFile(r.logPath(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		panic(err)
 	}
