--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -6,4 +6,4 @@
 # broken, 0 if it held, and 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/runridge-router ] && [ -x target/review-2/kit ] || exit 2
-exec target/review-2/kit resumed review/7
+exec target/review-2/kit resumed review/8
