--- a/review/_kit2/client.go
+++ b/review/_kit2/client.go
@@ -34,7 +34,7 @@
 // send makes an attempt on a new connection and reads its answer to the end.
 func (s *site) send(address string, a attempt) (out answer) {
 	defer func() {
-		s.line("client %s: answer %d, signature %q, %d bytes, error %v", a.id, out.status, out.header.Get("X-Server-Signature"), len(out.body), out.err)
+		s.line("client %s: answer %d, signature %q, %d bytes, error %v", a.id, out.status, out.header.Get(names.Signature), len(out.body), out.err)
 	}()
 	c, err := dial(address)
 	if err != nil {
@@ -56,7 +56,7 @@
 // exchange makes an attempt on a connection.
 func (s *site) exchange(c net.Conn, a attempt) (out answer) {
 	var b strings.Builder
-	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\n", a.method, a.path, host, a.id, a.deadline.Milliseconds())
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n", a.method, a.path, host, names.RequestID, a.id, names.Deadline, a.deadline.Milliseconds())
 	for _, h := range a.header {
 		b.WriteString(h + "\r\n")
 	}
--- a/review/_kit2/front.go
+++ b/review/_kit2/front.go
@@ -49,7 +49,7 @@
 	}))
 	go func() {
 		for {
-			for _, kind := range []string{"config", "servers", "boxes", "evacuations"} {
+			for _, kind := range wire.Kinds {
 				f.keep(s.Address(), kind)
 			}
 			select {
@@ -66,7 +66,7 @@
 
 // keep keeps the present list of a kind, and drops those that are too old.
 func (f *storeFront) keep(store, kind string) {
-	path := "/-/objects/" + kind
+	path := wire.ObjectsPath + kind
 	now := time.Now()
 	resp, err := http.Get("http://" + store + path)
 	if err != nil {
--- a/review/_kit2/resumed.go
+++ b/review/_kit2/resumed.go
@@ -83,7 +83,7 @@
 			body := fmt.Sprintf("draft-%03d", i)
 			a := attempt{
 				id: fmt.Sprintf("%016x", rand.Uint64()), method: http.MethodPost, path: "/draft/" + body, body: body, deadline: 14 * time.Second,
-				header: []string{"X-Model: m", "X-Token-Usage: 100,70", fmt.Sprintf("X-Prefix-Hash: 5c1e07a2:20,%08x:80", i)},
+				header: []string{"X-Model: m", names.Tokens + ": 100,70", fmt.Sprintf("%s: 5c1e07a2:20,%08x:80", names.Parts, i)},
 			}
 			at := i % len(s.routers)
 			mutex.Lock()
--- a/review/_kit2/server.go
+++ b/review/_kit2/server.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"strconv"
@@ -92,7 +93,7 @@
 	}
 	spec := map[string]any{
 		"service": e.service, "address": address, "zone": e.zone, "version": e.version, "slots": e.slots,
-		"state": state, "cold_remaining_ms": 0, "sequence": e.sequence,
+		"state": state, wire.ColdField: 0, "sequence": e.sequence,
 	}
 	if e.stage != "" {
 		spec["stage"], spec["models"] = e.stage, []any{map[string]any{"name": "m", "version": 1, "adapters": []any{}}}
@@ -133,14 +134,14 @@
 	}
 	switch {
 	case r.URL.Path == "/health":
-		w.Header().Set("X-Instance-Id", e.id)
+		w.Header().Set(wire.InstanceHeader, e.id)
 		return
-	case r.URL.Path == "/-/report":
+	case r.URL.Path == names.Orders.ReportPath:
 		e.report(w)
 		return
-	case strings.HasPrefix(r.URL.Path, "/-/kv-handle/") && r.Method == http.MethodDelete:
+	case strings.HasPrefix(r.URL.Path, names.FreePath) && r.Method == http.MethodDelete:
 		return
-	case strings.HasPrefix(r.URL.Path, "/-/"):
+	case strings.HasPrefix(r.URL.Path, wire.OwnPath):
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
@@ -149,26 +150,26 @@
 	case err != nil:
 		return
 	case id == "":
-		w.Header().Set("X-Not-Executed", "1")
+		w.Header().Set(names.NotRun, "1")
 		w.WriteHeader(http.StatusBadRequest)
 		return
-	case r.Header.Get("X-Expect-Instance") != "" && r.Header.Get("X-Expect-Instance") != e.id:
+	case r.Header.Get(names.Instance) != "" && r.Header.Get(names.Instance) != e.id:
 		e.site.line("server %s: 421 to %s", e.id, id)
-		w.Header().Set("X-Instance-Id", e.id)
+		w.Header().Set(wire.InstanceHeader, e.id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	prefill := r.Header.Get("X-Stage") == "prefill"
+	prefill := r.Header.Get(names.Stage) == names.StagePrefill
 	if e.stage != "" && prefill != (e.stage == "prefill") {
 		e.site.line("server %s: 421 to %s, wrong stage", e.id, id)
-		w.Header().Set("X-Instance-Id", e.id)
+		w.Header().Set(wire.InstanceHeader, e.id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	e.mutex.Lock()
 	if e.active >= e.slots {
 		e.mutex.Unlock()
-		w.Header().Set("X-Not-Executed", "1")
+		w.Header().Set(names.NotRun, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -187,7 +188,7 @@
 	if prefill {
 		time.Sleep(20 * time.Millisecond)
 		w.Header().Set("Content-Type", "application/json")
-		_, _ = fmt.Fprintf(w, "{\"kv_handle\":%q,\"tokens\":100,\"version\":1}", handle)
+		_, _ = w.Write(encode(map[string]any{names.HandleField: handle, names.TokensField: 100, "version": 1}))
 		return
 	}
 	if !e.site.terse {
@@ -200,13 +201,14 @@
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	w.Header().Set("Content-Type", "application/json")
-	_, _ = fmt.Fprintf(w, `{"stage":%q,"models":[{"name":"m","version":1,"adapters":[]}],"busy":false,"sequence":0,"queued":0,"active":%d,"kv_used":0,"kv_total":90000,"kv_handles":0}`,
-		e.stage, e.active)
+	report := maps.Clone(wire.Report)
+	report["stage"], report["active"] = e.stage, e.active
+	_, _ = w.Write(encode(report))
 }
 
 // sign marks an answer as the server's own.
 func (e *server) sign(w http.ResponseWriter) {
-	w.Header().Set("X-Server-Signature", "signed."+e.id)
+	w.Header().Set(names.Signature, "signed."+e.id)
 }
 
 // reply sends a whole signed answer.
--- a/review/_kit2/site.go
+++ b/review/_kit2/site.go
@@ -6,6 +6,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"os"
@@ -88,18 +89,17 @@
 	var rs, ss []any
 	for _, r := range routes {
 		rs = append(rs, map[string]any{
-			"name": r.name, "host": host, "path_prefix": "/" + r.name + "/", "kind": r.kind, "timeout_ms": r.timeoutMS,
-			"target_latency_ms": r.targetMS, "target_gap_ms": 300, "priority": 1, "service": r.service,
+			"name": r.name, "host": host, wire.PrefixField: "/" + r.name + "/", "kind": r.kind, "timeout_ms": r.timeoutMS,
+			wire.TargetField: r.targetMS, wire.GapField: 300, "priority": 1, "service": r.service,
 			"max_attempts": r.attempts, "resumable": r.resumable, "sticky": r.kind == "streaming",
 		})
 	}
 	for _, v := range services {
 		spec := map[string]any{"name": v.name, "health_path": "/health", "max_connections": v.connections, "protocol": "h1", "tls": false}
 		if v.engine {
-			spec["engine"] = map[string]any{
-				"slots": v.slots, "kv_capacity_tokens": 89659, "token_kv_bytes": 18432, "link_mbps": 1e6,
-				"stride": 64, "kv_hold_s": 0.5, "role_switch_s": 6.0, "models": []any{map[string]any{"name": "m"}},
-			}
+			engine := maps.Clone(wire.Engine)
+			engine["slots"] = v.slots
+			spec["engine"] = engine
 		}
 		ss = append(ss, spec)
 	}
--- a/review/_kit2/takeup.go
+++ b/review/_kit2/takeup.go
@@ -158,10 +158,10 @@
 	defer func() { _ = c.Close() }()
 	_ = c.SetDeadline(time.Now().Add(within))
 	text := fmt.Sprintf("draft-%03d", body)
-	head := fmt.Sprintf("POST /draft/%s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\nX-Model: m\r\nX-Token-Usage: 100,110\r\nX-Prefix-Hash: 5c1e07a2:20,%08x:80\r\nContent-Length: %d\r\n",
-		text, host, out.id, max(within.Milliseconds(), 1), body, len(text))
+	head := fmt.Sprintf("POST /draft/%s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\nX-Model: m\r\n%s: 100,110\r\n%s: 5c1e07a2:20,%08x:80\r\nContent-Length: %d\r\n",
+		text, host, names.RequestID, out.id, names.Deadline, max(within.Milliseconds(), 1), names.Tokens, names.Parts, body, len(text))
 	if after > 0 {
-		head += fmt.Sprintf("Last-Event-Id: %d\r\nResumes: %s\r\n", after, resumes)
+		head += fmt.Sprintf("%s: %d\r\n%s: %s\r\n", names.LastEvent, after, names.Resumes, resumes)
 	}
 	if _, err := io.WriteString(c, head+"\r\n"+text); err != nil {
 		return out
