--- a/review/_kit2/promise.go
+++ b/review/_kit2/promise.go
@@ -13,11 +13,11 @@
 
 func init() { cases["promise"] = promise }
 
-// promise: one of seven servers of a service fails 0.4 of its requests after it has run them, with a 503
+// promise: one of eight servers of a service fails 0.4 of its requests after it has run them, with a 503
 // that does not say X-Not-Executed. No client may get a 503 for a request that has run.
 func promise(s *site) []string {
 	const (
-		servers  = 7
+		servers  = 8
 		share    = 0.4
 		orders   = 240
 		interval = 25 * time.Millisecond
--- a/review/_kit2/resumed.go
+++ b/review/_kit2/resumed.go
@@ -20,14 +20,14 @@
 // streams at other servers. No client may get bytes that are no answer in the protocol.
 func resumed(s *site) []string {
 	const (
-		decoders = 7
+		decoders = 8
 		events   = 70
 		gap      = 40 * time.Millisecond
-		streams  = 500
+		streams  = 800
 		interval = 40 * time.Millisecond
 		// failShare is the part of its requests that the grey server fails, and resetShare the part
 		// of a router's connections that are reset every resetInterval.
-		failShare, resetShare = 0.4, 0.5
+		failShare, resetShare = 0.45, 0.5
 		resetInterval         = 2500 * time.Millisecond
 	)
 	s.configure(7,
