A request that ran gets a 503: an endpoint's status is no promise by itself

Callers of requests that may run once got the 503, 429 or 408 of an endpoint that had run them, and sent them again, since these statuses promise that nothing ran.

Cause: the relay counts such a request as run and answers its own failures with 502, but an answer of an endpoint went out by two ways, whole and too long to be read whole, that do not look at what is proved.

The fix asks once, where an endpoint's answer becomes the caller's, whether its status promises what is not proved; then the caller gets 502.

The soak's not_run_is_true no longer judges an endpoint's own signed status on routes whose requests may be repeated: the rule is about the others, and the status is to be returned unchanged.

--- a/bench/soak/check/check.go
+++ b/bench/soak/check/check.go
@@ -23,6 +23,8 @@
 	Mismatch string
 	// Malformed describes what is malformed in its head, or is empty.
 	Malformed string
+	// Signed is true if the answer has an endpoint's signature.
+	Signed bool
 	// Timeout is the time limit that its route sets for the request.
 	Timeout      time.Duration
 	Begun, Ended time.Time
--- a/bench/soak/load.go
+++ b/bench/soak/load.go
@@ -158,6 +158,7 @@
 	defer func() { _ = resp.Body.Close() }()
 	a.Status = resp.StatusCode
 	a.Malformed = malformedHead(resp)
+	a.Signed = standin.Signer(resp.Header) != ""
 	body, err := io.ReadAll(resp.Body)
 	a.Complete = err == nil
 	a.RefusedAsPoison = strings.Contains(string(body), string(lifecycle.ReasonPoison))
--- a/bench/soak/schedule/schedule.go
+++ b/bench/soak/schedule/schedule.go
@@ -86,6 +86,9 @@
 	EndpointUnframedCut Kind = "endpoint_cuts_unframed"
 	// EndpointMalformed has an endpoint send answers whose heads are malformed.
 	EndpointMalformed Kind = "endpoint_answers_malformed"
+	// EndpointRefusesAfterRun has an endpoint run requests and answer with statuses by which others reject
+	// requests that have not run.
+	EndpointRefusesAfterRun Kind = "endpoint_refuses_after_run"
 	// CallersCrowd has nearly all callers open new connections to one box.
 	CallersCrowd Kind = "callers_crowd_box"
 	// StrayEntries has another writer write entries that cannot be read, some of them each second, and
@@ -165,24 +168,25 @@
 	EndpointMoved:   {target: OnPlace, weight: 1, minDuration: second, jitter: second},
 	EndpointLeaving: {target: OnPlace, weight: 2, minDuration: 9 * second, jitter: 2 * second},
 
-	PoisonRequest:       {weight: 2, minDuration: 10 * second, jitter: 4 * second},
-	EndpointLimited:     {target: OnPlace, weight: 6, minDuration: 8 * second, jitter: 8 * second},
-	EndpointTired:       {target: OnPlace, weight: 4, minDuration: 4 * second, jitter: 8 * second},
-	EndpointParting:     {target: OnPlace, weight: 4, minDuration: 6 * second, jitter: 4 * second},
-	PoisonPart:          {weight: 3, minDuration: 20 * second, jitter: 4 * second},
-	EndpointUnframed:    {target: OnPlace, weight: 2, minDuration: second, jitter: 4 * second},
-	EndpointUnframedCut: {target: OnPlace, weight: 2, minDuration: second, jitter: 4 * second},
-	EndpointMalformed:   {target: OnPlace, weight: 4, minDuration: second, jitter: 4 * second},
-	CallersCrowd:        {target: OnBox, weight: 4, minDuration: 6 * second, jitter: 4 * second},
-	EndpointReleased:    {target: OnPlace, weight: 6, minDuration: 4 * second, jitter: 2 * second},
-	EndpointUnlisted:    {target: OnPlace, weight: 4, minDuration: 6 * second, jitter: 4 * second},
-	StrayEntries:        {target: OnPlace, weight: 4, minDuration: 6 * second, jitter: 4 * second},
-	TransfersStalled:    {weight: 2},
+	PoisonRequest:           {weight: 2, minDuration: 10 * second, jitter: 4 * second},
+	EndpointLimited:         {target: OnPlace, weight: 6, minDuration: 8 * second, jitter: 8 * second},
+	EndpointTired:           {target: OnPlace, weight: 4, minDuration: 4 * second, jitter: 8 * second},
+	EndpointParting:         {target: OnPlace, weight: 4, minDuration: 6 * second, jitter: 4 * second},
+	PoisonPart:              {weight: 3, minDuration: 20 * second, jitter: 4 * second},
+	EndpointUnframed:        {target: OnPlace, weight: 2, minDuration: second, jitter: 4 * second},
+	EndpointUnframedCut:     {target: OnPlace, weight: 2, minDuration: second, jitter: 4 * second},
+	EndpointMalformed:       {target: OnPlace, weight: 4, minDuration: second, jitter: 4 * second},
+	EndpointRefusesAfterRun: {target: OnPlace, weight: 4, minDuration: second, jitter: 4 * second},
+	CallersCrowd:            {target: OnBox, weight: 4, minDuration: 6 * second, jitter: 4 * second},
+	EndpointReleased:        {target: OnPlace, weight: 6, minDuration: 4 * second, jitter: 2 * second},
+	EndpointUnlisted:        {target: OnPlace, weight: 4, minDuration: 6 * second, jitter: 4 * second},
+	StrayEntries:            {target: OnPlace, weight: 4, minDuration: 6 * second, jitter: 4 * second},
+	TransfersStalled:        {weight: 2},
 }
 
 // optional are the kinds that are drawn only if they are asked for. Kinds that were added
 // later are here too, so that a seed still draws the schedule that it drew before.
-var optional = []Kind{ZoneDrained, TransfersStalled, PoisonRequest, EndpointLimited, EndpointTired, EndpointParting, StoreOlder, EndpointsLost, EndpointReleased, PoisonPart, EndpointUnframed, EndpointUnframedCut, CallersCrowd, StrayEntries, EndpointUnlisted, EndpointMalformed}
+var optional = []Kind{ZoneDrained, TransfersStalled, PoisonRequest, EndpointLimited, EndpointTired, EndpointParting, StoreOlder, EndpointsLost, EndpointReleased, PoisonPart, EndpointUnframed, EndpointUnframedCut, CallersCrowd, StrayEntries, EndpointUnlisted, EndpointMalformed, EndpointRefusesAfterRun}
 
 // ByDefault returns the kinds that are drawn for routed services unless others are asked for:
 // all except those that need an optional feature of a deployment and those that were added
--- a/bench/soak/signals.go
+++ b/bench/soak/signals.go
@@ -123,7 +123,7 @@
 	schedule.EndpointSlow: standin.Slow, schedule.EndpointMute: standin.Hanging, schedule.EndpointFull: standin.Full,
 	schedule.EndpointFailing: standin.Failing, schedule.EndpointLost: standin.Lost, schedule.EndpointBroken: standin.Cut,
 	schedule.EndpointTwice: standin.Extra, schedule.EndpointUnframed: standin.Unframed, schedule.EndpointUnframedCut: standin.UnframedCutInEvent,
-	schedule.EndpointMalformed: standin.Malformed,
+	schedule.EndpointMalformed: standin.Malformed, schedule.EndpointRefusesAfterRun: standin.RefusesAfterRun,
 }
 
 // withPlace reserves the place of an event, records the fault and runs do. If another fault has
--- a/bench/soak/streams.go
+++ b/bench/soak/streams.go
@@ -123,6 +123,7 @@
 	defer func() { _ = resp.Body.Close() }()
 	a.Status = resp.StatusCode
 	a.Malformed = malformedHead(resp)
+	a.Signed = standin.Signer(resp.Header) != ""
 	if a.Status != http.StatusOK {
 		return ""
 	}
--- a/coordination/relay/answer.go
+++ b/coordination/relay/answer.go
@@ -40,15 +40,22 @@
 	body, err := held.Read(a.Body, hold, a.Length, maxBufferedAnswer)
 	switch {
 	case errors.Is(err, held.ErrTooLong), errors.Is(err, held.ErrBudgetExhausted):
+		if h.withholds(a) {
+			_ = a.Body.Close()
+			return result{kind: failed, endpoint: id, answered: true, status: a.Status, reason: reasonStatusWithheld}
+		}
 		return h.relayLong(ctx, id, a, body)
 	case err != nil:
 		return h.noteBreak(ctx, err, result{kind: failed, endpoint: id, reason: "answer_cut"})
 	}
 	h.noteAnswered(a)
 	b := &bufferedAnswer{answer: a, body: body}
-	if a.Status >= 500 {
+	switch {
+	case h.withholds(a):
+		return result{kind: failed, endpoint: id, answered: true, status: a.Status, reason: reasonStatusWithheld}
+	case a.Status >= 500:
 		h.fallback = b
-		return result{kind: failed, endpoint: id, answered: true, reason: "endpoint_failed"}
+		return result{kind: failed, endpoint: id, answered: true, status: a.Status, reason: "endpoint_failed"}
 	}
 	return h.sendBuffered(b)
 }
--- a/coordination/relay/record.go
+++ b/coordination/relay/record.go
@@ -131,6 +131,9 @@
 		"alone":          h.selfPlaced,
 		"ms":             h.relay.cfg.Now().Sub(h.request.Arrived).Milliseconds(),
 	}
+	if res.status != 0 {
+		fields["status"] = res.status
+	}
 	if res.unreached {
 		fields["others"], fields["known"] = res.others, res.known
 	}
--- a/coordination/relay/run.go
+++ b/coordination/relay/run.go
@@ -164,6 +164,8 @@
 	// unreached reports that no connection to the endpoint could be made, and answered that it
 	// answered with an error.
 	unreached, answered bool
+	// status is the status of an answer that the caller did not get; 0 if there was none.
+	status int
 	// others is the number of other boxes that did not reach the endpoint either, and known reports
 	// that the endpoint was not tried because that was known.
 	others int
