The head of a second answer inside a stream: an answer begins once, by its type

Callers of streams that went on at another endpoint got that endpoint's answer, with status line, head and signature, inside the chunked body of their 200, where it was no stream: a 4xx, or any answer too long to be read whole. A 204 ended the stream as whole, a 206 or events of another type were appended.

Cause: whether the head had been sent was a flag that each way to a caller had to ask. Two of four did not, and the writer wrote any head that it was given.

The fix splits the writer of an answer: relay.Caller has received nothing and begins an answer once, relay.Reply has no head to send. An answer of an endpoint that is asked to go on is judged before it is read; what is no continuation is a failed attempt. The soak counts a malformed chunk (sound_head), which it took for a cut answer.

--- a/bench/soak/check/check.go
+++ b/bench/soak/check/check.go
@@ -21,7 +21,7 @@
 	// describes what is wrong with its content, or is empty.
 	Complete bool
 	Mismatch string
-	// Malformed describes what is malformed in its head, or is empty.
+	// Malformed describes what is malformed in its head, or in the chunks of its body, or is empty.
 	Malformed string
 	// Signed is true if the answer has an endpoint's signature.
 	Signed bool
--- a/bench/soak/load.go
+++ b/bench/soak/load.go
@@ -4,6 +4,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -161,6 +162,7 @@
 	a.Signed = standin.Signer(resp.Header) != ""
 	body, err := io.ReadAll(resp.Body)
 	a.Complete = err == nil
+	a.Malformed = cmp.Or(a.Malformed, malformedBody(err))
 	a.RefusedAsPoison = strings.Contains(string(body), string(lifecycle.ReasonPoison))
 	if a.Answered() {
 		a.Mismatch = mismatch(a, standin.Signer(resp.Header), string(body))
@@ -181,6 +183,16 @@
 	return ""
 }
 
+// malformedBody describes what is malformed in the framing of a body, by the error that ended it. It is empty if the
+// body is whole or was cut.
+func malformedBody(err error) string {
+	// The standard library has no type for these errors.
+	if err != nil && strings.Contains(err.Error(), "chunk") {
+		return "malformed body: " + err.Error()
+	}
+	return ""
+}
+
 // mismatch describes what is wrong with a complete answer. It is empty if nothing is.
 func mismatch(a *check.Answer, signer, body string) string {
 	if !isStream(a.Route) {
--- a/bench/soak/streams.go
+++ b/bench/soak/streams.go
@@ -5,6 +5,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -134,6 +135,7 @@
 		partial.WriteString(line)
 		if err != nil {
 			a.Complete = errors.Is(err, io.EOF) && partial.Len() == 0
+			a.Malformed = cmp.Or(a.Malformed, malformedBody(err))
 			return events.String()
 		}
 		if line != "\n" {
--- a/coordination/relay/answer.go
+++ b/coordination/relay/answer.go
@@ -62,14 +62,12 @@
 
 // sendBuffered sends a complete answer to the caller.
 func (h *handler) sendBuffered(b *bufferedAnswer) result {
-	h.headSent = true
-	h.firstByteAt = h.relay.cfg.Now()
-	err := h.caller.Head(b.answer.Status, b.answer.Header, int64(len(b.body)))
+	err := h.begin(b.answer, int64(len(b.body)))
 	if err == nil && len(b.body) > 0 {
-		err = h.caller.Write(b.body)
+		err = h.reply.Write(b.body)
 	}
 	if err == nil {
-		err = h.caller.End()
+		err = h.reply.End()
 	}
 	if err != nil {
 		return h.callerFailed(err)
@@ -82,9 +80,7 @@
 // part already read.
 func (h *handler) relayLong(ctx context.Context, id string, a *Answer, head []byte) result {
 	defer func() { _ = a.Body.Close() }()
-	h.headSent = true
-	h.firstByteAt = h.relay.cfg.Now()
-	err := h.caller.Head(a.Status, a.Header, a.Length)
+	err := h.begin(a, a.Length)
 	if err == nil {
 		err = h.write(head)
 	}
@@ -108,7 +104,7 @@
 	switch {
 	case errors.Is(err, io.EOF):
 		h.noteAnswered(a)
-		if err := h.caller.End(); err != nil {
+		if err := h.reply.End(); err != nil {
 			return h.callerFailed(err)
 		}
 		h.recordEnd("answered", strconv.Itoa(a.Status))
@@ -117,7 +113,7 @@
 		return h.endStalled()
 	}
 	h.noteBreak(ctx, err, result{endpoint: id})
-	h.caller.Abort()
+	h.abort()
 	h.recordEnd("broken", "answer_cut")
 	return result{}
 }
@@ -156,7 +152,7 @@
 			pending.consume(end)
 		}
 		if errors.Is(err, io.EOF) {
-			return h.finishStream(ctx, id, a, pending.data)
+			return h.finishStream(ctx, id, a, pending.data, first)
 		}
 		if err != nil && h.stall.explainsBreak(h.relay.cfg.Now()) {
 			return h.endStalled()
@@ -193,10 +189,8 @@
 
 // forwardEvents sends complete events to the caller, without those it already has.
 func (h *handler) forwardEvents(a *Answer, events []byte) error {
-	if !h.headSent {
-		h.headSent = true
-		h.firstByteAt = h.relay.cfg.Now()
-		if err := h.caller.Head(a.Status, a.Header, -1); err != nil {
+	if h.reply == nil {
+		if err := h.begin(a, -1); err != nil {
 			return err
 		}
 	}
@@ -220,21 +214,21 @@
 }
 
 // finishStream completes the answer after the stream has ended; rest is the data after the last
-// complete event.
-func (h *handler) finishStream(ctx context.Context, id string, a *Answer, rest []byte) result {
+// complete event, and first is when the first event of this endpoint arrived.
+func (h *handler) finishStream(ctx context.Context, id string, a *Answer, rest []byte, first time.Time) result {
 	switch {
 	case len(rest) > 0:
 		return h.noteBreak(ctx, io.ErrUnexpectedEOF, result{kind: failed, endpoint: id, reason: "stream_ended_in_event"})
-	case a.Unframed && h.lastEvent == "" && !h.headSent:
+	case a.Unframed && first.IsZero() && (h.reply != nil || h.lastEvent == ""):
 		return h.noteBreak(ctx, io.ErrUnexpectedEOF, result{kind: failed, endpoint: id, reason: "stream_without_events"})
 	}
-	if !h.headSent {
+	if h.reply == nil {
 		if err := h.forwardEvents(a, nil); err != nil {
 			return h.callerFailed(err)
 		}
 	}
 	h.noteAnswered(a)
-	if err := h.caller.End(); err != nil {
+	if err := h.reply.End(); err != nil {
 		return h.callerFailed(err)
 	}
 	h.recordEnd("answered", strconv.Itoa(a.Status))
--- a/coordination/relay/exchange.go
+++ b/coordination/relay/exchange.go
@@ -272,6 +272,9 @@
 		_ = answer.Body.Close()
 		return result{kind: failed, endpoint: id, reason: "answer_not_signed"}
 	}
+	if h.reply != nil && !h.reply.continuedBy(answer) {
+		return h.rejectContinuation(id, answer)
+	}
 	if h.route.Stream() && answer.Success() {
 		return h.relayStream(ctx, id, answer)
 	}
--- a/coordination/relay/late_test.go
+++ b/coordination/relay/late_test.go
@@ -57,7 +57,10 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			h := &handler{route: c.route, request: Request{LastEvent: c.after}, headSent: c.begun}
+			h := &handler{route: c.route, request: Request{LastEvent: c.after}}
+			if c.begun {
+				h.reply = &begunAnswer{}
+			}
 			if got := h.mayBeLate(); got != c.want {
 				t.Errorf("may be late: %v, want %v", got, c.want)
 			}
--- a/coordination/relay/poison_test.go
+++ b/coordination/relay/poison_test.go
@@ -46,11 +46,18 @@
 // recordingCaller is a caller that keeps the refusal it receives.
 type recordingCaller struct{ refusal Refusal }
 
-func (*recordingCaller) Head(int, []HeaderField, int64) error { return nil }
-func (*recordingCaller) Write([]byte) error                   { return nil }
-func (*recordingCaller) End() error                           { return nil }
-func (*recordingCaller) Abort()                               {}
-func (c *recordingCaller) Refuse(r Refusal)                   { c.refusal = r }
+func (c *recordingCaller) Begin(int, []HeaderField, int64) (Reply, error) {
+	return discardedReply{}, nil
+}
+func (*recordingCaller) Abort()             {}
+func (c *recordingCaller) Refuse(r Refusal) { c.refusal = r }
+
+// discardedReply is an answer that nobody reads.
+type discardedReply struct{}
+
+func (discardedReply) Write([]byte) error { return nil }
+func (discardedReply) End() error         { return nil }
+func (discardedReply) Abort()             {}
 
 // grantingHomes is the home of all groups. It calls onAsk for each ask and grants its plan;
 // without a plan it does not answer.
--- a/coordination/relay/refuse.go
+++ b/coordination/relay/refuse.go
@@ -93,7 +93,7 @@
 // mayBeLate reports whether the request may be served after its target: the route has a target,
 // the time that the caller waits is known, and the caller has received nothing of the answer.
 func (h *handler) mayBeLate() bool {
-	if h.route.TargetMS <= 0 || h.request.LastEvent != "" || h.headSent {
+	if h.route.TargetMS <= 0 || h.request.LastEvent != "" || h.reply != nil {
 		return false
 	}
 	return !h.route.Stream() || h.route.GiveUpMS > 0
@@ -136,12 +136,12 @@
 // finish sends the caller the final answer after the last attempt.
 func (h *handler) finish(ctx context.Context, res result) {
 	switch {
-	case h.headSent:
+	case h.reply != nil:
 		h.recordEnd("broken", res.reason)
-		h.caller.Abort()
+		h.abort()
 	case errors.Is(context.Cause(ctx), context.Canceled):
 		h.recordEnd("caller_gone", res.reason)
-		h.caller.Abort()
+		h.abort()
 	case h.fallback != nil:
 		h.sendBuffered(h.fallback)
 	case h.runs > 0 && ctx.Err() != nil:
--- a/coordination/relay/run.go
+++ b/coordination/relay/run.go
@@ -45,7 +45,9 @@
 	relay   *Relay
 	request Request
 	caller  Caller
-	id      lifecycle.RequestID
+	// reply is the answer to the caller; nil until it has begun.
+	reply *begunAnswer
+	id    lifecycle.RequestID
 
 	// generation and version identify the table by which the request was routed.
 	generation, version uint64
@@ -89,9 +91,7 @@
 	via string
 	// sentAt is when the latest exchange began.
 	sentAt time.Time
-	// headSent reports whether the caller has received the header of the answer, and lastEvent
-	// is the ID of the last event it received.
-	headSent  bool
+	// lastEvent is the ID of the last event that the caller has received.
 	lastEvent string
 	// software is the software version at which the stream has to go on; empty if it has not begun
 	// or any version will do.
@@ -274,7 +274,7 @@
 		if !h.route.Idempotent() || h.runs >= h.route.MaxAttempts {
 			return false
 		}
-		if h.headSent && h.lastEvent == "" {
+		if h.reply != nil && h.lastEvent == "" {
 			return false
 		}
 	}
@@ -365,7 +365,7 @@
 		Box:      h.relay.cfg.Box,
 		Account:  h.accountName(),
 		Priority: -h.priority(),
-		Resume:   h.headSent || h.request.LastEvent != "",
+		Resume:   h.reply != nil || h.request.LastEvent != "",
 		Avoid:    slices.Clone(h.avoid),
 	}
 	a.Avoid = append(a.Avoid, h.forbiddenEndpoints()...)
--- a/coordination/relay/slow.go
+++ b/coordination/relay/slow.go
@@ -49,7 +49,7 @@
 // write sends data to the caller and records a stall.
 func (h *handler) write(p []byte) error {
 	begin := h.relay.cfg.Now()
-	err := h.caller.Write(p)
+	err := h.reply.Write(p)
 	now := h.relay.cfg.Now()
 	h.stall.noteWrite(now, now.Sub(begin))
 	return err
@@ -72,7 +72,7 @@
 	} else {
 		h.recordEnd("caller_gone", "write")
 	}
-	h.caller.Abort()
+	h.abort()
 	return result{}
 }
 
@@ -80,6 +80,6 @@
 // endpoint is not at fault, and another one would do the same.
 func (h *handler) endStalled() result {
 	h.recordEnd("caller_slow", "endpoint_cut")
-	h.caller.Abort()
+	h.abort()
 	return result{}
 }
--- a/coordination/relay/software.go
+++ b/coordination/relay/software.go
@@ -100,7 +100,7 @@
 		return
 	}
 	h.software = h.softwareOf(endpoint)
-	if !h.headSent {
+	if h.reply == nil {
 		h.recordOrigin(h.request.ID)
 	}
 }
--- a/coordination/relay/types.go
+++ b/coordination/relay/types.go
@@ -179,19 +179,30 @@
 // ErrSlowCaller is returned when the caller does not read its answer in time.
 var ErrSlowCaller = errors.New("the caller does not read its answer")
 
-// Caller receives the answer to one request. Its methods return ErrSlowCaller, or another error
-// if the caller has disconnected.
+// ErrBegun is returned when an answer is begun that has begun before.
+var ErrBegun = errors.New("the answer has begun")
+
+// Caller is the caller of one request and has received nothing of its answer. An answer begins once: what
+// follows its head is sent by the Reply alone, which can't send another head or a refusal.
 type Caller interface {
-	// Head starts an answer; length is -1 if unknown.
-	Head(status int, header []HeaderField, length int64) error
+	// Begin sends the head of an answer; length is -1 if unknown. It returns ErrSlowCaller, or another error
+	// if the caller has disconnected, and ErrBegun if the answer had begun.
+	Begin(status int, header []HeaderField, length int64) (Reply, error)
+	// Refuse answers on behalf of the box itself.
+	Refuse(r Refusal)
+	// Abort ends the connection without an answer.
+	Abort()
+}
+
+// Reply is an answer whose head has been sent. Its methods return ErrSlowCaller, or another error if
+// the caller has disconnected.
+type Reply interface {
 	// Write sends data to the caller without buffering.
 	Write(p []byte) error
-	// End completes an answer.
+	// End completes the answer.
 	End() error
-	// Abort aborts an answer in a way that the caller cannot mistake for completion.
+	// Abort aborts the answer in a way that the caller cannot mistake for completion.
 	Abort()
-	// Refuse answers on behalf of the box itself.
-	Refuse(r Refusal)
 }
 
 // Refusal is an answer on behalf of the box itself.
--- a/tests/mutants/poison.go
+++ b/tests/mutants/poison.go
@@ -81,7 +81,7 @@
 	},
 	{
 		name: "empty_stream_looks_whole", file: "coordination/relay/answer.go", pkg: "./tests/routed", args: only("TestUnframedStreamThatBreaksOffLooksWhole"),
-		old: `case a.Unframed && h.lastEvent == "" && !h.headSent:`, fault: "case false:",
+		old: `case a.Unframed && first.IsZero() && (h.reply != nil || h.lastEvent == ""):`, fault: "case false:",
 	},
 	{
 		name: "half_event_blames_nobody", file: "coordination/relay/answer.go", pkg: "./tests/routed", args: only("TestUnframedStreamThatBreaksOffLooksWhole"),
--- a/tests/mutants/promise.go
+++ b/tests/mutants/promise.go
@@ -3,7 +3,8 @@
 
 package main
 
-// promiseMutants are faults by which a caller is told that its request has not run, though it may have.
+// promiseMutants are faults by which a caller is told that its request has not run, though it may have, or gets
+// the head of a second answer inside the first.
 var promiseMutants = []mutant{
 	{
 		name: "promise_of_an_endpoint_is_passed_on", file: "coordination/relay/answer.go", pkg: "./tests/routed", args: only("TestRequestThatRanGetsAPromise"),
@@ -17,4 +18,20 @@
 		name: "repeatable_requests_lose_their_status", file: "coordination/relay/promise.go", pkg: "./tests/routed", args: only("TestRequestThatRanGetsAPromise"),
 		old: "!h.route.Idempotent() && ", fault: "",
 	},
+	{
+		name: "any_answer_continues_a_stream", file: "coordination/relay/exchange.go", pkg: "./tests/routed", args: only("TestStreamHoldsTheHeadOfASecondEndpoint"),
+		old: "if h.reply != nil && !h.reply.continuedBy(answer) {", fault: "if false {",
+	},
+	{
+		name: "events_of_another_type_continue_a_stream", file: "coordination/relay/begun.go", pkg: "./tests/routed", args: only("TestStreamHoldsTheHeadOfASecondEndpoint"),
+		old: "mediaType == b.mediaType || mediaType == \"\"", fault: "true",
+	},
+	{
+		name: "empty_unframed_answer_continues_a_stream", file: "coordination/relay/answer.go", pkg: "./tests/routed", args: only("TestStreamHoldsTheHeadOfASecondEndpoint"),
+		old: "(h.reply != nil || h.lastEvent == \"\")", fault: "h.reply == nil && h.lastEvent == \"\"",
+	},
+	{
+		name: "answer_begins_twice", file: "transport/relayhttp/reply.go", pkg: "./transport/relayhttp", args: only("TestAnswerHoldsASecondHead"),
+		old: "	if w.begun {", fault: "	if false {",
+	},
 }
--- a/tests/mutants/routed.go
+++ b/tests/mutants/routed.go
@@ -65,7 +65,7 @@
 	},
 	{
 		name: "cut_stream_looks_whole", file: refusalFile, pkg: routedTests, args: only("TestBrokenStreams"),
-		old: "		h.caller.Abort()\n	case errors.Is(context.Cause(ctx), context.Canceled):", fault: "		_ = h.caller.End()\n	case errors.Is(context.Cause(ctx), context.Canceled):",
+		old: "		h.abort()\n	case errors.Is(context.Cause(ctx), context.Canceled):", fault: "		_ = h.reply.End()\n	case errors.Is(context.Cause(ctx), context.Canceled):",
 	},
 	{
 		name: "half_event_passed_on", file: answerFile, pkg: routedTests, args: only("TestBrokenStreams"),
--- a/tests/routed/site_test.go
+++ b/tests/routed/site_test.go
@@ -239,6 +239,7 @@
 		route("short", "unsafe", plainService, map[string]any{"timeout_ms": 300}),
 		route("stream", "streaming", modelService, map[string]any{"max_attempts": 1, "target_gap_ms": 300}),
 		route("resumable", "streaming", modelService, map[string]any{"resumable": true, "target_gap_ms": 300}),
+		route("retried", "streaming", modelService, map[string]any{"resumable": true, "target_gap_ms": 300, "max_attempts": 3}),
 	}
 	for v := 2; v <= version; v++ {
 		routes = append(routes, route("added-"+strconv.Itoa(v), "safe", plainService, nil))
--- a/transport/relayhttp/reply.go
+++ b/transport/relayhttp/reply.go
@@ -22,11 +22,13 @@
 	return bufio.NewReaderSize(bytes.NewReader(head), len(head)+1)
 }
 
-// reply writes the answer to one request. It implements relay.Caller.
+// reply writes the answer to one request. It implements relay.Caller until the answer has begun, and begunReply
+// relay.Reply from then on.
 type reply struct {
 	conn  *conn
 	q     request
 	names relayapi.Names
+	begun bool
 	// chunked is true for an answer with chunked encoding, noBody for one without a body.
 	chunked, noBody bool
 	// closeAfter is true if the connection is closed after this answer, done once the answer has
@@ -34,11 +36,21 @@
 	closeAfter, done, broken bool
 }
 
-var _ relay.Caller = (*reply)(nil)
+// begunReply writes what follows the head of an answer.
+type begunReply struct{ w *reply }
 
-// Head writes the status line and headers of an answer. A negative length is unknown: the
+var (
+	_ relay.Caller = (*reply)(nil)
+	_ relay.Reply  = begunReply{}
+)
+
+// Begin writes the status line and headers of an answer. A negative length is unknown: the
 // answer is chunked, or for HTTP/1.0 ends with the connection.
-func (w *reply) Head(status int, header []relay.HeaderField, length int64) error {
+func (w *reply) Begin(status int, header []relay.HeaderField, length int64) (relay.Reply, error) {
+	if w.begun {
+		return nil, relay.ErrBegun
+	}
+	w.begun = true
 	b := w.conn.writer
 	w.closeAfter = w.q.closeAfter || !w.conn.s.keepsAlive()
 	w.noBody = w.q.Method == http.MethodHead || status == http.StatusNoContent || status == http.StatusNotModified
@@ -62,9 +74,9 @@
 	_, _ = b.WriteString("\r\n")
 	if length >= 0 || w.noBody {
 		// The body, or the end of the answer, follows at once and flushes the head.
-		return nil
+		return begunReply{w}, nil
 	}
-	return w.flush()
+	return begunReply{w}, w.flush()
 }
 
 // field writes one header line. The writer keeps errors until Flush.
@@ -79,7 +91,8 @@
 func (w *reply) flush() error { return w.conn.writer.Flush() }
 
 // Write writes a piece of the body and flushes it.
-func (w *reply) Write(p []byte) error {
+func (r begunReply) Write(p []byte) error {
+	w := r.w
 	if w.noBody || len(p) == 0 {
 		return nil
 	}
@@ -96,7 +109,8 @@
 }
 
 // End completes the answer.
-func (w *reply) End() error {
+func (r begunReply) End() error {
+	w := r.w
 	w.done = true
 	if w.chunked && !w.noBody {
 		_, _ = w.conn.writer.WriteString("0\r\n\r\n")
@@ -104,6 +118,9 @@
 	return w.flush()
 }
 
+// Abort ends the answer.
+func (r begunReply) Abort() { r.w.Abort() }
+
 // Abort ends an answer so that the caller can't take it for a complete one: the connection
 // is closed without the end that its framing requires, after the caller has received what
 // was written before.
@@ -138,7 +155,8 @@
 	if r.RetryAfter > 0 {
 		fields = append(fields, relay.HeaderField{Name: "Retry-After", Value: formatSeconds(r.RetryAfter)})
 	}
-	if w.Head(r.Status, fields, int64(len(body))) != nil || w.Write(body) != nil || w.End() != nil {
+	reply, err := w.Begin(r.Status, fields, int64(len(body)))
+	if err != nil || reply.Write(body) != nil || reply.End() != nil {
 		w.Abort()
 	}
 }
--- a/transport/relayhttp/server_test.go
+++ b/transport/relayhttp/server_test.go
@@ -6,9 +6,12 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 
 	"runridge.example/runridge/coordination/relay"
@@ -21,12 +24,54 @@
 type emptyAnswers struct{}
 
 func (emptyAnswers) Serve(_ context.Context, _ relay.Request, c relay.Caller) {
-	_ = c.Head(http.StatusNoContent, nil, 0)
-	_ = c.End()
+	if reply, err := c.Begin(http.StatusNoContent, nil, 0); err == nil {
+		_ = reply.End()
+	}
 }
 
 func (emptyAnswers) Limits() table.Limits { return table.Limits{} }
 
+// twoHeads begins each answer twice, and refuses the request after that.
+type twoHeads struct{ second error }
+
+func (h *twoHeads) Serve(_ context.Context, _ relay.Request, c relay.Caller) {
+	reply, _ := c.Begin(http.StatusOK, nil, -1)
+	_ = reply.Write([]byte("begun"))
+	_, h.second = c.Begin(http.StatusNotFound, nil, 0)
+	c.Refuse(relay.Refusal{Status: http.StatusServiceUnavailable})
+}
+
+func (*twoHeads) Limits() table.Limits { return table.Limits{} }
+
+// Guards against a second head, or a refusal, inside an answer that has begun.
+func TestAnswerHoldsASecondHead(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	answers := &twoHeads{}
+	s := New(Config{Relay: answers, Names: relayapi.Default(), Log: log.Discard()})
+	served := make(chan error)
+	go func() { served <- s.Serve(t.Context(), l) }()
+	caller, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = fmt.Fprint(caller, "GET /x HTTP/1.1\r\nHost: h\r\n\r\n")
+	text, _ := io.ReadAll(caller)
+	_, _ = caller.Close(), l.Close()
+	if err := <-served; err != nil {
+		t.Error(err)
+	}
+	s.Wait(t.Context())
+	if !errors.Is(answers.second, relay.ErrBegun) {
+		t.Errorf("the second head: %v", answers.second)
+	}
+	if got := string(text); strings.Count(got, "HTTP/1.1") != 1 || !strings.HasSuffix(got, "\r\n\r\n5\r\nbegun\r\n") {
+		t.Errorf("the caller got %q", got)
+	}
+}
+
 // fixedAdmission limits requests or does not, and counts those on kept connections.
 type fixedAdmission struct {
 	limited  bool
