No stream goes on after all boxes have ended: origins in the platform, in batches

While two software versions served, every loss of all boxes cost every stream: callers got 503 stream_origin_unknown, with two minutes to wait, and new streams began as usual.

Cause: which version began a stream was kept by three boxes alone. The platform had only the list of versions that may have streams; with two on it, all were refused.

The fix: while several versions may have streams, a few boxes write the origins to the platform twice a second, a twelfth of the horizon in each object; a box reads them after its start, and once more for a stream that nobody knows. An origin never changes, so an old or doubled batch is as true as a new one, and no guess is made. With one version nothing is written.

--- a/box/measured.go
+++ b/box/measured.go
@@ -11,10 +11,12 @@
 
 	"runridge.example/runridge/coordination/adapter"
 	"runridge.example/runridge/coordination/stages"
+	origins "runridge.example/runridge/coordination/streams"
 	"runridge.example/runridge/modules/log"
 	"runridge.example/runridge/modules/metric"
 	"runridge.example/runridge/state/directory"
 	"runridge.example/runridge/state/drain"
+	"runridge.example/runridge/state/streams"
 )
 
 // meteredPlatform wraps a platform to count and time the calls to it.
@@ -217,6 +219,22 @@
 	return err
 }
 
+// StreamOrigins lists the batches of origins of streams.
+func (m meteredPlatform) StreamOrigins(ctx context.Context) ([]origins.Batch, error) {
+	begin := time.Now()
+	batches, err := m.RelayPlatform.StreamOrigins(ctx)
+	m.record("stream_origins", begin, err)
+	return batches, err
+}
+
+// WriteStreamOrigins writes a batch of origins of streams.
+func (m meteredPlatform) WriteStreamOrigins(ctx context.Context, name string, batch []streams.Origin, revision uint64) (uint64, error) {
+	begin := time.Now()
+	written, err := m.RelayPlatform.WriteStreamOrigins(ctx, name, batch, revision)
+	m.record("write_stream_origins", begin, err)
+	return written, err
+}
+
 // Remove takes a box off the list.
 func (m meteredPlatform) Remove(ctx context.Context, name string, version uint64) error {
 	begin := time.Now()
--- a/box/run.go
+++ b/box/run.go
@@ -44,6 +44,7 @@
 		running.Go(func() error { return b.routed.registry.Run(background) })
 		running.Go(func() error { return b.routed.stages.Run(background) })
 		running.Go(func() error { return b.routed.origins.Run(background) })
+		running.Go(func() error { return b.routed.origins.RunBatches(background) })
 		running.Go(func() error { return b.reportCalls(background) })
 		running.Go(func() error { return b.serveReady(background) })
 		running.Go(func() error { return b.routed.server.Serve(background, b.routed.listener) })
--- a/box/streams.go
+++ b/box/streams.go
@@ -24,6 +24,7 @@
 		Peers:       b.others,
 		Ranked:      func(key string, limit int) []string { return b.spread.Load().First(key, limit) },
 		Remote:      b.regionEntries,
+		Region:      b.regions.Of(b.settings.Zone),
 		View:        b.softwareVersions,
 		Joined:      b.listed,
 		Store:       b.routed.platform,
--- a/coordination/relay/software.go
+++ b/coordination/relay/software.go
@@ -41,8 +41,8 @@
 	// softwareGoneRetry is the retry delay while no endpoint of a version is left; one that crashed
 	// is back after some seconds.
 	softwareGoneRetry = 2 * time.Second
-	// originRetry is the retry delay if the boxes that may know the origin of a stream did not
-	// answer.
+	// originRetry is the retry delay if the boxes that may know the origin of a stream, or the platform, did
+	// not answer.
 	originRetry = 300 * time.Millisecond
 	// horizonFactor is how far back a stream may have begun, as a multiple of its route's timeout.
 	horizonFactor = 2
@@ -68,6 +68,7 @@
 		"software":       found.Software,
 		"asked":          found.Asked,
 		"answered":       found.Answered,
+		"unread":         found.Unread,
 		"ms":             h.relay.cfg.Now().Sub(h.request.Arrived).Milliseconds(),
 	}).Info("stream_taken_up")
 	if h.relay.cfg.Metrics != nil {
@@ -77,7 +78,7 @@
 		return true
 	}
 	after := records.Keep
-	if found.Answered < found.Asked || found.Asked == 0 {
+	if found.Answered < found.Asked || found.Asked == 0 || found.Unread {
 		after = h.clampRetryAfter(originRetry)
 	}
 	h.refuse(http.StatusServiceUnavailable, reasonOriginUnknown, after)
--- a/coordination/streams/history.go
+++ b/coordination/streams/history.go
@@ -14,12 +14,12 @@
 	"runridge.example/runridge/state/streams"
 )
 
-// When all boxes end at once, the origins of all streams are lost. The platform then still tells
-// which versions may have begun them: one box writes, for each service, the versions whose streams
-// may be in progress, whenever that changes.
+// When all boxes end at once, the origins of streams that began while one version served are lost. The
+// platform then still tells which versions may have begun them: one box writes, for each service, the versions
+// whose streams may be in progress, whenever that changes.
 
 // Store keeps, in the platform, the software versions of each service whose streams may be in
-// progress.
+// progress, and origins of streams while there are several.
 type Store interface {
 	// SoftwareVersions returns the versions and their revision, or adapter.ErrNotFound. With versions
 	// that cannot be read it returns the revision and an adapter.UnreadableError.
@@ -27,6 +27,11 @@
 	// WriteSoftwareVersions replaces versions that still have the given revision, 0 for none. It
 	// returns adapter.ErrConflict if another box wrote first.
 	WriteSoftwareVersions(ctx context.Context, service string, versions []string, revision uint64) error
+	// StreamOrigins returns all batches of origins. One that cannot be read has no origins.
+	StreamOrigins(ctx context.Context) ([]Batch, error)
+	// WriteStreamOrigins replaces a batch that still has the given revision, 0 for none, and returns the new
+	// one. It returns adapter.ErrConflict if another box wrote first.
+	WriteStreamOrigins(ctx context.Context, name string, origins []streams.Origin, revision uint64) (uint64, error)
 }
 
 const (
@@ -111,13 +116,18 @@
 	last, read := k.read[service]
 	k.mutex.Unlock()
 	if !read || now.Sub(last.at) > readInterval {
-		ctx, cancel := context.WithTimeout(ctx, readTimeout)
-		defer cancel()
-		versions, _, err := k.cfg.Store.SoftwareVersions(ctx, service)
-		last = written{versions: versions, at: now, found: err == nil}
+		last = k.readVersions(ctx, service)
 		k.mutex.Lock()
 		k.read[service] = last
 		k.mutex.Unlock()
 	}
 	return streams.View{Versions: last.versions, Complete: last.found}
 }
+
+// readVersions reads the versions of a service from the platform.
+func (k *Keeper) readVersions(ctx context.Context, service string) written {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	versions, _, err := k.cfg.Store.SoftwareVersions(ctx, service)
+	return written{versions: versions, at: k.cfg.Now(), found: err == nil}
+}
--- a/coordination/streams/streams.go
+++ b/coordination/streams/streams.go
@@ -10,6 +10,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"runridge.example/runridge/modules/log"
@@ -55,6 +56,8 @@
 	// of them, and Remote the first one of each other region.
 	Ranked func(key string, limit int) []string
 	Remote func(key string) []string
+	// Region is the region of this box.
+	Region string
 	// View returns what this box knows of the versions of a service within a horizon.
 	View func(service string, horizon time.Duration) streams.View
 	// Joined reports whether this box knows the others: one that starts may be asked for streams before
@@ -94,8 +97,18 @@
 type Keeper struct {
 	cfg Config
 
-	mutex    sync.Mutex
-	ledger   streams.Ledger
+	// writerBoxes are the boxes that write origins to the platform.
+	writerBoxes atomic.Pointer[[]string]
+	// restoring is held while the origins that are written in the platform are read.
+	restoring sync.Mutex
+
+	mutex  sync.Mutex
+	ledger streams.Ledger
+	// written has the origins that were read from the platform. They were last read at restoredAt, and it was
+	// last tried at restoreTried.
+	written                  streams.Ledger
+	restoredAt, restoreTried time.Time
+
 	sequence uint64
 	waiting  map[uint64]chan<- Answer
 	// read has the versions that were last read from the platform, by service.
@@ -114,7 +127,7 @@
 // milliseconds, of 41 bits.
 const incarnationShift = 22
 
-// Begin records the version of the endpoint that begins a stream, here and on two other boxes. It is
+// Begin records the version of the endpoint that begins a stream, here, on two other boxes and on the writer. It is
 // called before the caller can receive the first event. A stream must always be recorded with the same
 // version: a message may be lost, and an earlier one stays.
 func (k *Keeper) Begin(service, attempt, software string) {
@@ -123,13 +136,25 @@
 	}
 	o := streams.Origin{Key: streams.KeyOf(service, attempt), Software: software}
 	k.Receive(o)
-	sent := 0
+	var told []string
 	for _, box := range k.cfg.Ranked(rankKey(o.Key), copies+1) {
-		if box != k.cfg.Self && sent < copies {
+		if box != k.cfg.Self && len(told) < copies {
 			k.cfg.Peers.SendOrigin(box, o)
-			sent++
+			told = append(told, box)
 		}
 	}
+	if writer := k.writerBox(o.Key); writer != k.cfg.Self && !slices.Contains(told, writer) {
+		k.cfg.Peers.SendOrigin(writer, o)
+	}
+}
+
+// writerBox returns the box that writes an origin to the platform.
+func (k *Keeper) writerBox(key streams.Key) string {
+	writers := k.writers()
+	if len(writers) == 0 {
+		return k.cfg.Self
+	}
+	return writers[writerOf(key, len(writers))]
 }
 
 // rankKey returns the key by which boxes are ranked for the origin of a stream.
@@ -151,9 +176,9 @@
 
 // Answer answers another box's question.
 func (k *Keeper) Answer(from string, q Question) {
-	software, known := k.lookUp(q.Key)
+	software, source := k.lookUp(q.Key)
 	k.cfg.Peers.SendOriginAnswer(from, Answer{
-		Sequence: q.Sequence, Known: known, Software: software, View: k.cfg.View(q.Service, q.Horizon),
+		Sequence: q.Sequence, Known: source != Unknown, Software: software, View: k.cfg.View(q.Service, q.Horizon),
 	})
 }
 
@@ -168,10 +193,17 @@
 	}
 }
 
-func (k *Keeper) lookUp(key streams.Key) (software string, known bool) {
+// lookUp returns the origin of a stream that this box knows, and from where.
+func (k *Keeper) lookUp(key streams.Key) (software string, source Source) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	return k.ledger.Software(k.cfg.Now(), key)
+	if software, known := k.ledger.Software(k.cfg.Now(), key); known {
+		return software, Recorded
+	}
+	if software, known := k.written.Software(k.cfg.Now(), key); known {
+		return software, Written
+	}
+	return "", Unknown
 }
 
 // Source tells how the version that began a stream was found.
@@ -183,6 +215,8 @@
 	Unknown Source = "unknown"
 	// Recorded means that a box had recorded it.
 	Recorded Source = "recorded"
+	// Written means that it was written in the platform.
+	Written Source = "written"
 	// Sole means that no other version can have begun it.
 	Sole Source = "sole"
 )
@@ -194,6 +228,8 @@
 	Software string
 	// Asked is how many boxes were asked, and Answered how many of them answered.
 	Asked, Answered int
+	// Unread reports that the origins that are written in the platform could not be read.
+	Unread bool
 }
 
 // Find returns the version that began the stream whose first event came with the given attempt,
@@ -202,21 +238,28 @@
 	q := Question{Service: service, Horizon: min(horizon, streams.Keep)}
 	if attempt != "" {
 		q.Key = streams.KeyOf(service, attempt)
-		if software, known := k.lookUp(q.Key); known {
-			return Finding{Source: Recorded, Software: software}
+		if software, source := k.lookUp(q.Key); source != Unknown {
+			return Finding{Source: source, Software: software}
 		}
 	}
 	k.awaitJoined(ctx)
 	found, views := k.ask(ctx, q)
-	if found.Source == Recorded || found.Answered == 0 && !k.cfg.Current() {
+	if found.Source == Recorded {
 		return found
 	}
-	software, only := streams.Only(views...)
-	if !only && !slices.ContainsFunc(views, func(v streams.View) bool { return v.Complete }) {
-		software, only = streams.Only(append(views, k.recorded(ctx, service))...)
+	if found.Answered > 0 || k.cfg.Current() {
+		software, only := streams.Only(views...)
+		if !only && !slices.ContainsFunc(views, func(v streams.View) bool { return v.Complete }) {
+			software, only = streams.Only(append(views, k.recorded(ctx, service))...)
+		}
+		if only {
+			found.Source, found.Software = Sole, software
+			return found
+		}
 	}
-	if only {
-		found.Source, found.Software = Sole, software
+	if attempt != "" {
+		found.Unread = !k.restore(ctx, readTimeout)
+		found.Software, found.Source = k.lookUp(q.Key)
 	}
 	return found
 }
@@ -293,6 +336,9 @@
 			boxes = append(boxes, box)
 		}
 	}
+	if writer := k.writerBox(key); writer != k.cfg.Self && !slices.Contains(boxes, writer) {
+		boxes = append(boxes, writer)
+	}
 	if remote := k.cfg.Remote(rankKey(key)); len(remote) > 0 {
 		return append(boxes, remote...), remoteTimeout
 	}
--- a/coordination/streams/streams_test.go
+++ b/coordination/streams/streams_test.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"sync"
 	"testing"
@@ -72,6 +73,18 @@
 	return s.f.store.WriteSoftwareVersions(ctx, service, versions, revision)
 }
 
+func (s lockedStore) StreamOrigins(ctx context.Context) ([]Batch, error) {
+	s.f.mutex.Lock()
+	defer s.f.mutex.Unlock()
+	return s.f.store.StreamOrigins(ctx)
+}
+
+func (s lockedStore) WriteStreamOrigins(ctx context.Context, name string, origins []streams.Origin, revision uint64) (uint64, error) {
+	s.f.mutex.Lock()
+	defer s.f.mutex.Unlock()
+	return s.f.store.WriteStreamOrigins(ctx, name, origins, revision)
+}
+
 // memoryStore is a Store in memory.
 type memoryStore struct {
 	versions []string
@@ -80,6 +93,39 @@
 	away     bool
 	// unreadable is set if another writer has written something else in their place.
 	unreadable bool
+	// batches are the batches of origins, and last is the revision of the latest one. lists and batchWrites count
+	// the calls, and loses makes writes take effect without an answer.
+	batches            map[string]Batch
+	last               uint64
+	lists, batchWrites int
+	loses              bool
+}
+
+func (s *memoryStore) StreamOrigins(context.Context) ([]Batch, error) {
+	s.lists++
+	if s.away {
+		return nil, errAway
+	}
+	return slices.Collect(maps.Values(s.batches)), nil
+}
+
+func (s *memoryStore) WriteStreamOrigins(_ context.Context, name string, origins []streams.Origin, revision uint64) (uint64, error) {
+	s.batchWrites++
+	if s.away {
+		return 0, errAway
+	}
+	if s.batches[name].Revision != revision {
+		return 0, adapter.ErrConflict
+	}
+	if s.batches == nil {
+		s.batches = make(map[string]Batch)
+	}
+	s.last++
+	s.batches[name] = Batch{Name: name, Revision: s.last, Origins: origins}
+	if s.loses {
+		return 0, errAway
+	}
+	return s.last, nil
 }
 
 func (s *memoryStore) SoftwareVersions(context.Context, string) ([]string, uint64, error) {
--- a/state/streams/streams.go
+++ b/state/streams/streams.go
@@ -81,6 +81,36 @@
 	return e.software, true
 }
 
+// Since returns the origins of the chosen keys that were recorded after a time and are still remembered, in the
+// order of their records, at most limit of them, and the time of the last one.
+func (l *Ledger) Since(now, after time.Time, limit int, chosen func(Key) bool) (origins []Origin, last time.Time) {
+	after = later(after, now.Add(-Keep))
+	first, _ := slices.BinarySearchFunc(l.byAge, after, func(a aged, after time.Time) int {
+		if a.at.After(after) {
+			return 1
+		}
+		return -1
+	})
+	last = after
+	for _, a := range l.byAge[first:] {
+		if len(origins) == limit {
+			break
+		}
+		if e, known := l.origins[a.key]; known && e.at.Equal(a.at) && chosen(a.key) {
+			origins = append(origins, Origin{Key: a.key, Software: e.software})
+			last = a.at
+		}
+	}
+	return origins, last
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // Len returns the number of origins.
 func (l *Ledger) Len() int { return len(l.origins) }
 
--- a/state/streams/streams_test.go
+++ b/state/streams/streams_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -90,3 +91,35 @@
 		convey.So(known, convey.ShouldBeTrue)
 	})
 }
+
+// TestOracleSince compares the origins since a time with a plain list of records.
+func TestOracleSince(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var l Ledger
+		now := time.Unix(0, 0)
+		var records []aged
+		for range rapid.IntRange(0, 40).Draw(t, "records") {
+			now = now.Add(time.Duration(rapid.IntRange(1, 30).Draw(t, "seconds")) * time.Second)
+			key := Key(rapid.IntRange(0, 9).Draw(t, "key"))
+			l.Record(now, Origin{Key: key, Software: "v1"})
+			records = slices.DeleteFunc(records, func(a aged) bool { return a.key == key })
+			records = append(records, aged{key: key, at: now})
+		}
+		after := time.Unix(int64(rapid.IntRange(0, 900).Draw(t, "after")), 0)
+		limit := rapid.IntRange(1, 12).Draw(t, "limit")
+		odd := func(key Key) bool { return key%2 == 1 }
+		var want []Origin
+		for _, a := range records {
+			if a.at.After(after) && now.Sub(a.at) < Keep && odd(a.key) && len(want) < limit {
+				want = append(want, Origin{Key: a.key, Software: "v1"})
+			}
+		}
+		got, last := l.Since(now, after, limit, odd)
+		if !slices.Equal(got, want) {
+			t.Fatalf("got %v, want %v", got, want)
+		}
+		if rest, _ := l.Since(now, last, len(records)+1, odd); len(got) == limit && slices.ContainsFunc(rest, func(o Origin) bool { return slices.Contains(got, o) }) {
+			t.Fatalf("%v come again after %v", rest, last)
+		}
+	})
+}
