Batches of origins: a lost answer uses up no batch, and a reread replaces the read

A write whose answer was lost began another batch each time, so that 16 of them overwrote the origins of all earlier streams; a box that reread the batches for unknown streams kept every copy that it had read for two minutes.

Now the writer lists the revisions anew and goes on with its batch; another one is begun only if another box wrote it. A reread replaces what was read, and each read has 0.5 s.

--- a/coordination/streams/batches.go
+++ b/coordination/streams/batches.go
@@ -6,10 +6,12 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"time"
 
+	"runridge.example/runridge/coordination/adapter"
 	"runridge.example/runridge/modules/log"
 	"runridge.example/runridge/state/streams"
 )
@@ -42,8 +44,9 @@
 	writerKey      = "stream-origins"
 	boxesPerWriter = 64
 	maxWriters     = 16
-	// restoreInterval is how often batches are read at most.
+	// restoreInterval is how often batches are read at most, and restoreTimeout bounds one read.
 	restoreInterval = time.Second
+	restoreTimeout  = 500 * time.Millisecond
 	// versionsInterval is how long the written versions are used to decide whether several may have streams.
 	versionsInterval = 10 * time.Second
 )
@@ -103,7 +106,7 @@
 		}
 		several := k.severalVersions(ctx, versions, index >= 0)
 		if _, restored := k.lastRestore(); several && restored.IsZero() {
-			k.restore(ctx, writeTimeout)
+			k.restore(ctx)
 		}
 		if index < 0 || !several {
 			writer = nil
@@ -162,7 +165,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	if w.name == "" && !w.choose(ctx, now) {
+	if !w.prepare(ctx, now) {
 		return
 	}
 	name := w.name
@@ -170,7 +173,10 @@
 	entry := k.cfg.Log.WithFields(log.Fields{"batch": name, "origins": len(origins)})
 	if err != nil {
 		// The write may have been done, so the revision is not known any more.
-		w.name, w.revisions = "", nil
+		w.revisions = nil
+		if errors.Is(err, adapter.ErrConflict) {
+			w.name = ""
+		}
 		entry.WithError(err).Warn("stream_origins_not_written")
 		return
 	}
@@ -181,12 +187,9 @@
 	}
 }
 
-// choose chooses the batch to write: a new one, or the one that was written the longest ago.
-func (w *batchWriter) choose(ctx context.Context, now time.Time) bool {
-	names := make([]string, maxBatches)
-	for i := range names {
-		names[i] = fmt.Sprintf("%s-%d-%d", cmp.Or(w.k.cfg.Region, "all"), w.index, i)
-	}
+// prepare lists the batches if their revisions are not known, and chooses the batch to write if there is none: a new
+// one, or the one that was written the longest ago. It returns false if the platform does not answer.
+func (w *batchWriter) prepare(ctx context.Context, now time.Time) bool {
 	if w.revisions == nil {
 		batches, err := w.k.cfg.Store.StreamOrigins(ctx)
 		if err != nil {
@@ -198,6 +201,13 @@
 			w.revisions[b.Name] = b.Revision
 		}
 	}
+	if w.name != "" {
+		return true
+	}
+	names := make([]string, maxBatches)
+	for i := range names {
+		names[i] = fmt.Sprintf("%s-%d-%d", cmp.Or(w.k.cfg.Region, "all"), w.index, i)
+	}
 	w.name = slices.MinFunc(names, func(a, b string) int { return cmp.Compare(w.revisions[a], w.revisions[b]) })
 	w.began = now
 	return true
@@ -221,7 +231,7 @@
 
 // restore reads the batches. It returns false if they could not be read; if they were read a moment ago,
 // it does nothing.
-func (k *Keeper) restore(ctx context.Context, timeout time.Duration) bool {
+func (k *Keeper) restore(ctx context.Context) bool {
 	k.restoring.Lock()
 	defer k.restoring.Unlock()
 	now := k.cfg.Now()
@@ -232,7 +242,7 @@
 	k.restoreTried = now
 	k.mutex.Unlock()
 	// Other requests rely on this read too.
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), timeout)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), restoreTimeout)
 	defer cancel()
 	batches, err := k.cfg.Store.StreamOrigins(ctx)
 	if err != nil {
@@ -240,16 +250,15 @@
 		return false
 	}
 	slices.SortFunc(batches, func(a, b Batch) int { return cmp.Compare(a.Revision, b.Revision) })
-	count := 0
-	k.mutex.Lock()
-	defer k.mutex.Unlock()
-	k.restoredAt = now
+	var found streams.Ledger
 	for _, b := range batches {
 		for _, o := range b.Origins {
-			k.written.Record(now, o)
-			count++
+			found.Record(now, o)
 		}
 	}
-	k.cfg.Log.WithFields(log.Fields{"batches": len(batches), "origins": count}).Info("stream_origins_read")
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.written, k.restoredAt = found, now
+	k.cfg.Log.WithFields(log.Fields{"batches": len(batches), "origins": found.Len()}).Info("stream_origins_read")
 	return true
 }
--- a/coordination/streams/batches_test.go
+++ b/coordination/streams/batches_test.go
@@ -194,6 +194,27 @@
 	}
 }
 
+// Guards against lost answers of the platform that use up the batches, and with them the origins of earlier streams.
+func TestLostAnswersOverwriteEarlierOrigins(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(mixed, "a", "b", "c")
+		runFleet(t, f)
+		f.keepers["a"].Begin(service, "first", "v2")
+		const before, during = 8, 2 * maxBatches
+		for i := range before + during {
+			if i == before {
+				f.change(func() { f.store.loses = true })
+			}
+			time.Sleep(batchInterval)
+			f.keepers["b"].Begin(service, fmt.Sprint(i), "v1")
+		}
+		f.restartAll()
+		if found := f.keepers["a"].Find(t.Context(), service, "first", horizon); found.Software != "v2" {
+			t.Fatalf("found %+v", found)
+		}
+	})
+}
+
 // TestWritersShareOrigins checks that all origins of a large fleet are written, each by one writer.
 func TestWritersShareOrigins(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/coordination/streams/streams.go
+++ b/coordination/streams/streams.go
@@ -258,7 +258,7 @@
 		}
 	}
 	if attempt != "" {
-		found.Unread = !k.restore(ctx, readTimeout)
+		found.Unread = !k.restore(ctx)
 		found.Software, found.Source = k.lookUp(q.Key)
 	}
 	return found
--- a/tests/mutants/streams.go
+++ b/tests/mutants/streams.go
@@ -59,7 +59,7 @@
 	},
 	{
 		name: "written_origins_are_not_read", file: "coordination/streams/streams.go", pkg: "./coordination/streams", args: only("TestStreamsAreLostWithAllBoxes"),
-		old: "found.Unread = !k.restore(ctx, readTimeout)", fault: "found.Unread = false",
+		old: "found.Unread = !k.restore(ctx)", fault: "found.Unread = false",
 	},
 	{
 		name: "unread_origins_are_final", file: "coordination/streams/batches.go", pkg: "./coordination/streams", args: only("TestStreamsAreLostWithAllBoxes"),
